Set up the build, checks, design page and module interfaces

The design page fixes requirements, figures, modules and interfaces before code is written against them. The build takes each library folder by life span; format and lint are checked by the same script as the tests.

--- /dev/null
+++ b/libraries/connection/peerclients.h
@@ -0,0 +1,47 @@
+/** Thrift calls to other daemons. */
+#pragma once
+
+#include "core/error.h"
+#include "generated/peer_types.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace lycheecleat
+{
+
+/**
+ * Calls peers by IP address and port, over pooled connections. A call that fails or times out closes its connection, so a late reply
+ * is never taken for the reply of a later call. Safe to call from several threads. Errors name the peer.
+ */
+class PeerClients
+{
+public:
+    PeerClients();
+    ~PeerClients();
+    PeerClients(const PeerClients &) = delete;
+    auto operator=(const PeerClients &) -> PeerClients & = delete;
+
+    [[nodiscard]] auto exchange(const std::string &address, const peer::HostState &state, absl::Duration timeout) -> Result<peer::HostState>;
+    [[nodiscard]] auto fetchBundle(const std::string &address, std::int64_t revision, absl::Duration timeout) -> Result<peer::ConfigurationBundle>;
+    [[nodiscard]] auto borrowRate(const std::string &address,
+                                  const std::string &borrower,
+                                  std::int64_t revision,
+                                  const std::string &limit,
+                                  double rate,
+                                  double burst,
+                                  absl::Duration timeout) -> Result<peer::RateLoan>;
+    [[nodiscard]] auto
+    borrowSlots(const std::string &address, const std::string &borrower, std::int64_t revision, const std::string &pool, int count, absl::Duration timeout)
+        -> Result<peer::SlotLoan>;
+    [[nodiscard]] auto forward(const std::string &address, const peer::ForwardedRequest &request, absl::Duration timeout) -> Result<peer::ForwardedAnswer>;
+
+private:
+    struct Connections;
+    std::unique_ptr<Connections> connections_;
+};
+
+}
--- /dev/null
+++ b/libraries/core/digest.cpp
@@ -0,0 +1,62 @@
+#include "core/digest.h"
+
+#include <absl/strings/escaping.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+#include <xxhash.h>
+
+#include <array>
+#include <cstdlib>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+auto toHex(const unsigned char *data, std::size_t size) -> std::string
+{
+    return absl::BytesToHexString(std::string(reinterpret_cast<const char *>(data), size));
+}
+
+}
+
+auto sha256Hex(std::string_view data) -> std::string
+{
+    auto digest = std::array<unsigned char, SHA256_DIGEST_LENGTH> {};
+    SHA256(reinterpret_cast<const unsigned char *>(data.data()), data.size(), digest.data());
+    return toHex(digest.data(), digest.size());
+}
+
+auto hmacHex(std::string_view secret, std::string_view data) -> std::string
+{
+    auto digest = std::array<unsigned char, EVP_MAX_MD_SIZE> {};
+    auto size = 0U;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), reinterpret_cast<const unsigned char *>(data.data()), data.size(), digest.data(), &size);
+    return toHex(digest.data(), size);
+}
+
+auto equalConstantTime(std::string_view left, std::string_view right) -> bool
+{
+    return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+auto randomHex(int bytes) -> std::string
+{
+    auto buffer = std::string(static_cast<std::size_t>(bytes), '\0');
+    if (RAND_bytes(reinterpret_cast<unsigned char *>(buffer.data()), bytes) != 1) {
+        // Identifiers that repeat would break the guarantees built on them, so there is no fallback.
+        std::abort();
+    }
+    return absl::BytesToHexString(buffer);
+}
+
+auto stableHash(std::string_view data, std::uint64_t seed) -> std::uint64_t
+{
+    return XXH3_64bits_withSeed(data.data(), data.size(), seed);
+}
+
+}
--- /dev/null
+++ b/libraries/core/error.h
@@ -0,0 +1,72 @@
+/** Typed errors and the result type of fallible functions. */
+#pragma once
+
+#include <boost/leaf.hpp>
+
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace lycheecleat
+{
+
+/** An error with the step and the peer at which it arose. */
+struct Error
+{
+    /** What was being done, for example "read head record". */
+    std::string step_;
+    /** The address, file or host that was involved; empty when there is none. */
+    std::string peer_;
+    /** What went wrong, for an operator to read. */
+    std::string message_;
+
+    auto operator==(const Error &other) const -> bool = default;
+};
+
+/** The result of a fallible function: a value or an Error. */
+template<typename T>
+using Result = boost::leaf::result<T>;
+
+/** Returns an error from a function whose result is a Result<T>. */
+[[nodiscard]] inline auto makeError(std::string step, std::string peer, std::string message) -> boost::leaf::error_id
+{
+    return boost::leaf::new_error(Error { std::move(step), std::move(peer), std::move(message) });
+}
+
+/** Formats an error as "step (peer): message". */
+[[nodiscard]] inline auto describe(const Error &error) -> std::string
+{
+    const auto peer = error.peer_.empty() ? std::string {} : " (" + error.peer_ + ")";
+    return error.step_ + peer + ": " + error.message_;
+}
+
+/** Calls a function that returns Result<T> and gives its value or its Error. Use it where an error is handled, not passed on. */
+template<typename Function>
+[[nodiscard]] auto attempt(Function &&function)
+{
+    using Returned = std::invoke_result_t<Function>;
+    using Value = std::conditional_t<std::is_void_v<typename Returned::value_type>, std::monostate, typename Returned::value_type>;
+    using Outcome = std::variant<Value, Error>;
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<Outcome> {
+            if constexpr (std::is_void_v<typename Returned::value_type>) {
+                BOOST_LEAF_CHECK(std::forward<Function>(function)());
+                return Outcome { std::in_place_index<0> };
+            } else {
+                auto result = std::forward<Function>(function)();
+                if (!result) {
+                    return result.error();
+                }
+                return Outcome { std::in_place_index<0>, std::move(result.value()) };
+            }
+        },
+        [](const Error &error) -> Outcome {
+            return Outcome { std::in_place_index<1>, error };
+        },
+        []() -> Outcome {
+            return Outcome { std::in_place_index<1>, Error { "unknown", "", "error without a description" } };
+        });
+}
+
+}
--- /dev/null
+++ b/libraries/core/log.cpp
@@ -0,0 +1,113 @@
+#include "core/log.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/strings/escaping.h>
+#include <absl/synchronization/mutex.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+struct LogState
+{
+    absl::Mutex mutex_;
+    LogSettings settings_ ABSL_GUARDED_BY(mutex_);
+    absl::Time second_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+    double linesInSecond_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::int64_t dropped_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+auto state() -> LogState &
+{
+    static auto instance = LogState {};
+    return instance;
+}
+
+auto levelName(LogLevel level) -> std::string_view
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warning:
+        return "warning";
+    case LogLevel::Error:
+        return "error";
+    }
+    return "error";
+}
+
+auto formatTime(absl::Time wallTime) -> std::string
+{
+    return absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", wallTime, absl::UTCTimeZone());
+}
+
+auto quoteIfNeeded(const std::string &value) -> std::string
+{
+    const auto plain = std::all_of(value.begin(), value.end(), [](unsigned char character) {
+        return character > ' ' && character < 0x7f && character != '"' && character != '=' && character != '\\';
+    });
+    if (plain && !value.empty()) {
+        return value;
+    }
+    return fmt::format("\"{}\"", absl::CEscape(value));
+}
+
+}
+
+auto configureLog(const LogSettings &settings) -> void
+{
+    const auto lock = absl::MutexLock(&state().mutex_);
+    state().settings_ = settings;
+}
+
+auto formatLogLine(LogFormat format, absl::Time wallTime, LogLevel level, std::string_view event, const std::vector<LogField> &fields) -> std::string
+{
+    if (format == LogFormat::Json) {
+        auto line = nlohmann::ordered_json { { "time", formatTime(wallTime) }, { "level", levelName(level) }, { "event", event } };
+        for (const auto &field : fields) {
+            line[std::string(field.name_)] = field.value_;
+        }
+        return line.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    }
+    auto line = fmt::format("time={} level={} event={}", formatTime(wallTime), levelName(level), event);
+    for (const auto &field : fields) {
+        line += fmt::format(" {}={}", field.name_, quoteIfNeeded(field.value_));
+    }
+    return line;
+}
+
+auto logLine(absl::Time wallTime, LogLevel level, std::string_view event, const std::vector<LogField> &fields) -> void
+{
+    const auto lock = absl::MutexLock(&state().mutex_);
+    auto &current = state();
+    if (level < current.settings_.level_) {
+        return;
+    }
+    if (wallTime - current.second_ >= absl::Seconds(1)) {
+        if (current.dropped_ > 0) {
+            fmt::print(stderr, "time={} level=warning event=log_lines_dropped count={}\n", formatTime(wallTime), current.dropped_);
+        }
+        current.second_ = wallTime;
+        current.linesInSecond_ = 0;
+        current.dropped_ = 0;
+    }
+    // Warnings and errors are rare and must not be lost behind decision lines.
+    if (level < LogLevel::Warning && current.linesInSecond_ >= current.settings_.linesPerSecond_) {
+        ++current.dropped_;
+        return;
+    }
+    current.linesInSecond_ += 1;
+    fmt::print(stderr, "{}\n", formatLogLine(current.settings_.format_, wallTime, level, event, fields));
+}
+
+}
--- /dev/null
+++ b/libraries/process/requesthandler.h
@@ -0,0 +1,66 @@
+/** Serves callers' requests: from the HTTP request to the whole answer. */
+#pragma once
+
+#include "connection/peerclients.h"
+#include "connection/storeclient.h"
+#include "generated/peer_types.h"
+#include "process/currentconfiguration.h"
+#include "process/knowledge.h"
+#include "process/sharekeeper.h"
+
+#include <httplib.h>
+
+#include <memory>
+#include <string>
+
+namespace lycheecleat
+{
+
+/** The parts of the process that requests need; all outlive the handler. */
+struct RequestServices
+{
+    /** Declared name of this host. */
+    std::string hostName_;
+    /** Random identifier of this run. */
+    std::string run_;
+    std::string zone_;
+    /** Fleet secret for key digests and run tokens. */
+    std::string secret_;
+    CurrentConfiguration *configuration_ = nullptr;
+    Knowledge *knowledge_ = nullptr;
+    ShareKeeper *shares_ = nullptr;
+    PeerClients *peers_ = nullptr;
+    StoreClient *store_ = nullptr;
+};
+
+/** Handles requests. Thread-safe. */
+class RequestHandler
+{
+public:
+    explicit RequestHandler(RequestServices services);
+    ~RequestHandler();
+    RequestHandler(const RequestHandler &) = delete;
+    auto operator=(const RequestHandler &) -> RequestHandler & = delete;
+
+    /** Serves one caller's request. Always leaves a complete answer with X-Request-Outcome. */
+    auto handle(const httplib::Request &request, httplib::Response &response) -> void;
+
+    /** Serves a request that a peer forwarded because this host's run owns its idempotency key. */
+    [[nodiscard]] auto handleForwarded(const peer::ForwardedRequest &request) -> peer::ForwardedAnswer;
+
+    /** Requests being served. */
+    [[nodiscard]] auto inFlight() const -> int;
+
+    /** Crash reports to tell peers, and those heard from peers. */
+    [[nodiscard]] auto crashReports(absl::Time now) const -> std::vector<peer::CrashReport>;
+    auto addCrashReports(absl::Time now, const std::vector<peer::CrashReport> &reports) -> void;
+
+    /** Backend servers that the host list or peers report as leaving. */
+    auto setLeavingBackends(std::vector<std::string> names) -> void;
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+}
--- /dev/null
+++ b/libraries/version/drain.h
@@ -0,0 +1,26 @@
+/** An order to take a machine out of use. */
+#pragma once
+
+#include <string>
+
+namespace lycheecleat
+{
+
+/** What a drain rule names. */
+enum class DrainTarget {
+    Backend,
+    EntryHost,
+    Zone,
+};
+
+/** A drain as declared by a rule of kind `drain`. */
+struct Drain
+{
+    std::string name_;
+    DrainTarget targetKind_ = DrainTarget::Backend;
+    std::string target_;
+
+    auto operator==(const Drain &other) const -> bool = default;
+};
+
+}
--- /dev/null
+++ b/libraries/version/organisation.h
@@ -0,0 +1,23 @@
+/** An organisation and its limits. */
+#pragma once
+
+#include <string>
+
+namespace lycheecleat
+{
+
+/** An organisation as declared by a rule of kind `organisation`. */
+struct Organisation
+{
+    std::string name_;
+    /** Requests a second over all hosts together. */
+    double rate_ = 0;
+    /** Requests that may come at once over all hosts together. */
+    double burst_ = 0;
+    /** Weight in fair queueing. */
+    double weight_ = 1;
+
+    auto operator==(const Organisation &other) const -> bool = default;
+};
+
+}
--- /dev/null
+++ b/libraries/version/platform.h
@@ -0,0 +1,29 @@
+/** Settings that concern the platform and the exchange of knowledge. */
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** How old a host's knowledge of the store may be before it refuses keyed requests. */
+inline constexpr auto defaultFreshness = absl::Seconds(4);
+
+/** How long a rate or slot loan lasts for the borrower. */
+inline constexpr auto defaultLoan = absl::Seconds(2);
+
+/** The platform as declared by a rule of kind `platform`. */
+struct Platform
+{
+    /** Availability zones that hold the store. */
+    std::vector<std::string> storeZones_;
+    absl::Duration freshness_ = defaultFreshness;
+    absl::Duration loan_ = defaultLoan;
+
+    auto operator==(const Platform &other) const -> bool = default;
+};
+
+}
--- /dev/null
+++ b/libraries/version/rulefolder.h
@@ -0,0 +1,28 @@
+/** Reads and checks the operators' folder. */
+#pragma once
+
+#include "core/error.h"
+#include "version/configuration.h"
+#include "version/rulefile.h"
+#include "version/ruleproblem.h"
+
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** A configuration, valid only when there are no problems. */
+struct CheckedRules
+{
+    Configuration configuration_;
+    std::vector<RuleProblem> problems_;
+};
+
+/** Reads every *.yaml file below the folder, sorted by relative name. Errors: the folder or a file cannot be read. */
+[[nodiscard]] auto readRuleFolder(const std::string &folder) -> Result<RuleFiles>;
+
+/** Parses and checks all files and reports every problem at once. */
+[[nodiscard]] auto checkRules(const RuleFiles &files) -> CheckedRules;
+
+}
--- /dev/null
+++ b/meta/empty.cpp
@@ -0,0 +1,1 @@
+// Lets CMake build a library folder that has only headers.
--- /dev/null
+++ b/services/lycheecleatd/main.cpp
@@ -0,0 +1,5 @@
+/** The daemon of one entry host. */
+auto main() -> int
+{
+    return 0;
+}
--- /dev/null
+++ b/utilities/lycheecleat/main.cpp
@@ -0,0 +1,5 @@
+/** The command-line tool for operators. */
+auto main() -> int
+{
+    return 0;
+}
