--- a/libraries/core/error.h
+++ b/libraries/core/error.h
@@ -41,23 +41,33 @@
     return error.step_ + peer + ": " + error.message_;
 }
 
+/** The value type of a Result. */
+template<typename Returned>
+struct ResultValue;
+
+template<typename T>
+struct ResultValue<Result<T>>
+{
+    using Type = T;
+};
+
 /** Calls a function that returns Result<T> and gives its value or its Error. Use it where an error is handled, not passed on. */
 template<typename Function>
 [[nodiscard]] auto attempt(Function &&function)
 {
     using Returned = std::invoke_result_t<Function>;
-    using Value = std::conditional_t<std::is_void_v<typename Returned::value_type>, std::monostate, typename Returned::value_type>;
+    constexpr auto returnsNothing = std::is_void_v<typename ResultValue<Returned>::Type>;
+    using Value = std::conditional_t<returnsNothing, std::monostate, typename ResultValue<Returned>::Type>;
     using Outcome = std::variant<Value, Error>;
     return boost::leaf::try_handle_all(
         [&]() -> Result<Outcome> {
-            if constexpr (std::is_void_v<typename Returned::value_type>) {
-                BOOST_LEAF_CHECK(std::forward<Function>(function)());
+            auto result = std::forward<Function>(function)();
+            if (!result) {
+                return result.error();
+            }
+            if constexpr (returnsNothing) {
                 return Outcome { std::in_place_index<0> };
             } else {
-                auto result = std::forward<Function>(function)();
-                if (!result) {
-                    return result.error();
-                }
                 return Outcome { std::in_place_index<0>, std::move(result.value()) };
             }
         },
