--- /dev/null
+++ b/libraries/connection/configurationstore.cpp
@@ -0,0 +1,173 @@
+#include "connection/configurationstore.h"
+
+#include "version/rulefolder.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+// With n writers at once one succeeds in each round, so this serves about as many concurrent writers as tries.
+constexpr auto maximumTries = 16;
+// A failed call usually means an outage, which the caller reports rather than waits out.
+constexpr auto maximumFailedCalls = 3;
+
+/** The bundle with the version that the head had when it was read. */
+struct VersionedBundle
+{
+    Bundle bundle_;
+    std::int64_t headVersion_ = 0;
+};
+
+/** What one try to replace the head led to. */
+struct Attempt
+{
+    /** The revision that holds the change; absent when another writer was first. */
+    std::optional<std::int64_t> revision_;
+};
+
+auto parseEntry(const StoreEntry &entry) -> Result<Head>
+{
+    return entry.version_ == 0 ? Result<Head>(Head {}) : parseHead(entry.value_);
+}
+
+auto readChunk(const StoreFunctions &store, const std::string &digest) -> Result<std::string>
+{
+    BOOST_LEAF_AUTO(entry, store.get_(chunkKeyPrefix + digest));
+    if (entry.version_ == 0) {
+        return makeError("read chunk", digest, "the store does not hold the chunk");
+    }
+    return entry.value_;
+}
+
+auto readVersionedBundle(const StoreFunctions &store) -> Result<VersionedBundle>
+{
+    BOOST_LEAF_AUTO(entry, store.get_(headKey));
+    BOOST_LEAF_AUTO(head, parseEntry(entry));
+    auto result = VersionedBundle { { head, {} }, entry.version_ };
+    for (const auto &[bucket, digest] : head.chunks_) {
+        BOOST_LEAF_AUTO(chunk, readChunk(store, digest));
+        result.bundle_.chunks_.emplace(digest, chunk);
+    }
+    return result;
+}
+
+auto holdsChange(const Head &head, const std::string &changeId) -> bool
+{
+    return std::find(head.changes_.begin(), head.changes_.end(), changeId) != head.changes_.end();
+}
+
+auto requireValid(const RuleFiles &files) -> Result<void>
+{
+    const auto problems = checkRules(files).problems_;
+    if (problems.empty()) {
+        return {};
+    }
+    auto text = std::string {};
+    for (const auto &problem : problems) {
+        text += text.empty() ? "" : "\n";
+        text += describe(problem);
+    }
+    return makeError(checkStep, "", text);
+}
+
+/** Creates a chunk. Its key is its digest, so a chunk that exists already is the same, and a repeat after a lost reply is harmless. */
+auto writeChunk(const StoreFunctions &store, const std::string &digest, const std::string &content) -> Result<void>
+{
+    const auto key = chunkKeyPrefix + digest;
+    for (auto failures = 1; failures < maximumFailedCalls; ++failures) {
+        const auto outcome = attempt([&]() {
+            return store.compareAndSwap_(key, 0, content);
+        });
+        if (std::holds_alternative<SwapResult>(outcome)) {
+            return {};
+        }
+    }
+    BOOST_LEAF_CHECK(store.compareAndSwap_(key, 0, content));
+    return {};
+}
+
+auto writeMissingChunks(const StoreFunctions &store, const Bundle &current, const Bundle &next) -> Result<void>
+{
+    for (const auto &[digest, content] : next.chunks_) {
+        if (current.chunks_.count(digest) == 0) {
+            BOOST_LEAF_CHECK(writeChunk(store, digest, content));
+        }
+    }
+    return {};
+}
+
+/** Reads the head after a lost reply and looks for the change. Errors: the store still gives no answer. */
+auto findAfterLostReply(const StoreFunctions &store, const std::string &changeId, const Error &lost) -> Result<Attempt>
+{
+    for (auto failures = 1; failures <= maximumFailedCalls; ++failures) {
+        const auto outcome = attempt([&]() -> Result<Head> {
+            BOOST_LEAF_AUTO(entry, store.get_(headKey));
+            return parseEntry(entry);
+        });
+        if (const auto *head = std::get_if<Head>(&outcome)) {
+            return holdsChange(*head, changeId) ? Attempt { head->revision_ } : Attempt {};
+        }
+    }
+    const auto message = fmt::format("{}; the store did not answer whether change {} took effect", lost.message_, changeId);
+    return makeError(lost.step_, lost.peer_, message);
+}
+
+auto replaceHead(const StoreFunctions &store, std::int64_t headVersion, const Head &next, const std::string &changeId) -> Result<Attempt>
+{
+    const auto outcome = attempt([&]() {
+        return store.compareAndSwap_(headKey, headVersion, serializeHead(next));
+    });
+    if (const auto *error = std::get_if<Error>(&outcome)) {
+        return findAfterLostReply(store, changeId, *error);
+    }
+    return std::get<SwapResult>(outcome).swapped_ ? Attempt { next.revision_ } : Attempt {};
+}
+
+/** One round of read, merge, check and write. */
+auto tryApply(const StoreFunctions &store, const std::vector<FileEdit> &edits, const std::string &changeId) -> Result<Attempt>
+{
+    BOOST_LEAF_AUTO(current, readVersionedBundle(store));
+    const auto &head = current.bundle_.head_;
+    if (holdsChange(head, changeId)) {
+        return Attempt { head.revision_ };
+    }
+    BOOST_LEAF_AUTO(files, unpackBundle(current.bundle_));
+    BOOST_LEAF_AUTO(merged, mergeEdits(files, edits));
+    if (merged == files) {
+        return Attempt { head.revision_ };
+    }
+    BOOST_LEAF_CHECK(requireValid(merged));
+    auto changes = head.changes_;
+    changes.push_back(changeId);
+    BOOST_LEAF_AUTO(next, packBundle(merged, head.revision_ + 1, changes));
+    BOOST_LEAF_CHECK(writeMissingChunks(store, current.bundle_, next));
+    return replaceHead(store, current.headVersion_, next.head_, changeId);
+}
+
+}
+
+auto readBundle(const StoreFunctions &store) -> Result<Bundle>
+{
+    BOOST_LEAF_AUTO(current, readVersionedBundle(store));
+    return std::move(current.bundle_);
+}
+
+auto applyEdits(const StoreFunctions &store, const std::vector<FileEdit> &edits, const std::string &changeId) -> Result<std::int64_t>
+{
+    for (auto tries = 0; tries < maximumTries; ++tries) {
+        BOOST_LEAF_AUTO(outcome, tryApply(store, edits, changeId));
+        if (outcome.revision_) {
+            return *outcome.revision_;
+        }
+    }
+    return makeError(swapStep, "", fmt::format("other writers changed the configuration during each of {} tries", maximumTries));
+}
+
+}
--- /dev/null
+++ b/libraries/version/bundletest.cpp
@@ -0,0 +1,151 @@
+#include "version/bundle.h"
+
+#include "core/digest.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+auto sampleFiles() -> RuleFiles
+{
+    return { { "10-a.yaml", "kind: region\n" }, { "20-b.yaml", "b" }, { "keys.d/k.yaml", "key" } };
+}
+
+template<typename Function>
+auto errorOf(Function &&function) -> Error
+{
+    const auto outcome = attempt(std::forward<Function>(function));
+    const auto *error = std::get_if<Error>(&outcome);
+    return error == nullptr ? Error {} : *error;
+}
+
+struct MergeCase
+{
+    std::string name_;
+    RuleFiles current_;
+    std::vector<FileEdit> edits_;
+    /** Absent when the merge must give a conflict. */
+    std::optional<RuleFiles> expected_;
+};
+
+}
+
+// Guards against files lost, reordered or changed on their way through the store.
+TEST_CASE("a packed bundle unpacks to the same files")
+{
+    const auto outcome = attempt([]() -> Result<RuleFiles> {
+        BOOST_LEAF_AUTO(bundle, packBundle(sampleFiles(), 7, { "c1" }));
+        CHECK(bundle.head_.revision_ == 7);
+        BOOST_LEAF_AUTO(head, parseHead(serializeHead(bundle.head_)));
+        CHECK(head == bundle.head_);
+        return unpackBundle(bundle);
+    });
+    REQUIRE(std::holds_alternative<RuleFiles>(outcome));
+    CHECK(std::get<RuleFiles>(outcome) == sampleFiles());
+}
+
+// Guards against a chunk that was damaged or swapped being put in force.
+TEST_CASE("unpackBundle refuses missing and changed chunks")
+{
+    const auto error = errorOf([]() -> Result<RuleFiles> {
+        BOOST_LEAF_AUTO(bundle, packBundle(sampleFiles(), 1, {}));
+        bundle.chunks_.begin()->second += " ";
+        return unpackBundle(bundle);
+    });
+    CHECK(error.message_ == "the chunk's content has another digest");
+    const auto missing = errorOf([]() -> Result<RuleFiles> {
+        BOOST_LEAF_AUTO(bundle, packBundle(sampleFiles(), 1, {}));
+        bundle.chunks_.clear();
+        return unpackBundle(bundle);
+    });
+    CHECK(missing.message_.find("is missing") != std::string::npos);
+}
+
+// Guards against a value that the store refuses, and against a head that grows with every change.
+TEST_CASE("packBundle bounds chunks and change ids")
+{
+    const auto error = errorOf([]() {
+        return packBundle({ { "large.yaml", std::string(maximumChunkBytes, 'x') } }, 1, {});
+    });
+    CHECK(error.message_.find("large.yaml") != std::string::npos);
+    const auto changes = std::vector<std::string>(maximumChanges + 5, "c");
+    const auto outcome = attempt([&]() {
+        return packBundle({}, 1, changes);
+    });
+    REQUIRE(std::holds_alternative<Bundle>(outcome));
+    CHECK(std::get<Bundle>(outcome).head_.changes_.size() == maximumChanges);
+}
+
+// Guards against a malformed head being taken for an empty configuration.
+TEST_CASE("parseHead refuses malformed text")
+{
+    for (const auto &text :
+         std::vector<std::string> { "", "{}", "[]", R"({"revision":"1","chunks":{},"changes":[]})", R"({"revision":1,"chunks":{"x":"d"},"changes":[]})" }) {
+        CAPTURE(text);
+        CHECK(errorOf([&]() {
+                  return parseHead(text);
+              }).step_
+              == "parse head record");
+    }
+}
+
+// Guards against one operator's edit silently undoing another's.
+TEST_CASE("mergeEdits merges edits of different files and refuses edits of the same file")
+{
+    const auto current = RuleFiles { { "a", "1" }, { "b", "1" } };
+    const auto cases = std::vector<MergeCase> {
+        { "change", current, { { "a", "1", "2" } }, RuleFiles { { "a", "2" }, { "b", "1" } } },
+        { "add", current, { { "c", std::nullopt, "1" } }, RuleFiles { { "a", "1" }, { "b", "1" }, { "c", "1" } } },
+        { "remove", current, { { "a", "1", std::nullopt } }, RuleFiles { { "b", "1" } } },
+        { "same result", current, { { "a", "0", "1" } }, current },
+        { "removed by both", current, { { "c", "1", std::nullopt } }, current },
+        { "both changed", current, { { "a", "0", "2" } }, std::nullopt },
+        { "both added", current, { { "a", std::nullopt, "2" } }, std::nullopt },
+        { "changed here, removed there", current, { { "c", "1", "2" } }, std::nullopt },
+        { "removed here, changed there", current, { { "a", "0", std::nullopt } }, std::nullopt },
+        { "one conflict stops all", current, { { "b", "1", "2" }, { "a", "0", "2" } }, std::nullopt },
+    };
+    for (const auto &mergeCase : cases) {
+        CAPTURE(mergeCase.name_);
+        const auto outcome = attempt([&]() {
+            return mergeEdits(mergeCase.current_, mergeCase.edits_);
+        });
+        REQUIRE(std::holds_alternative<RuleFiles>(outcome) == mergeCase.expected_.has_value());
+        if (mergeCase.expected_) {
+            CHECK(std::get<RuleFiles>(outcome) == *mergeCase.expected_);
+        } else {
+            CHECK(std::get<Error>(outcome).step_ == mergeStep);
+        }
+    }
+}
+
+// Guards against an operator who fixes one conflict only to meet the next.
+TEST_CASE("mergeEdits names every conflicting file and both edits")
+{
+    const auto error = errorOf([]() {
+        return mergeEdits({ { "a", "1" } }, { { "a", "0", "2" }, { "b", "0", "2" } });
+    });
+    CHECK(error.message_.find("a: this edit changes it, and an edit made since the folder was pulled changes it") != std::string::npos);
+    CHECK(error.message_.find("b: this edit changes it, and an edit made since the folder was pulled removes it") != std::string::npos);
+}
+
+// Guards against an edit that is left out when a folder is compared with its base.
+TEST_CASE("differenceOf and mergeEdits are inverse")
+{
+    const auto before = RuleFiles { { "a", "1" }, { "b", "1" } };
+    const auto after = RuleFiles { { "b", "2" }, { "c", "1" } };
+    const auto edits = differenceOf(before, after);
+    CHECK(edits == std::vector<FileEdit> { { "a", "1", std::nullopt }, { "b", "1", "2" }, { "c", std::nullopt, "1" } });
+    const auto outcome = attempt([&]() {
+        return mergeEdits(before, edits);
+    });
+    REQUIRE(std::holds_alternative<RuleFiles>(outcome));
+    CHECK(std::get<RuleFiles>(outcome) == after);
+}
--- /dev/null
+++ b/libraries/version/routetabletest.cpp
@@ -0,0 +1,61 @@
+#include "version/routetable.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+struct RouteCase
+{
+    std::string host_;
+    std::string path_;
+    /** Empty when no route matches. */
+    std::string expected_;
+};
+
+auto route(const std::string &name, const std::string &host, const std::string &path) -> Route
+{
+    auto route = Route {};
+    route.name_ = name;
+    route.host_ = host;
+    route.pathPrefix_ = path;
+    return route;
+}
+
+}
+
+// Guards against a request that reaches another pool, or another access rule, than the operator reads from the folder.
+TEST_CASE("findRoute takes the first match in file order")
+{
+    auto configuration = Configuration {};
+    configuration.routes_ = {
+        route("tides-today", "dive.example", "/tides/today"),
+        route("tides", "dive.example", "/tides"),
+        route("any-status", "*", "/status"),
+        route("rest", "dive.example", "/"),
+    };
+    const auto cases = std::vector<RouteCase> {
+        { "dive.example", "/tides/today", "tides-today" },
+        { "dive.example", "/tides/today/late", "tides-today" },
+        { "dive.example", "/tides", "tides" },
+        { "dive.example", "/tides/", "tides" },
+        { "dive.example", "/tidesx", "rest" },
+        { "Dive.Example:8080", "/tides", "tides" },
+        { "other.example", "/status", "any-status" },
+        { "other.example", "/tides", "" },
+        { "[::1]:80", "/status", "any-status" },
+        { "dive.example", "", "rest" },
+        { "", "/tides", "" },
+    };
+    for (const auto &routeCase : cases) {
+        CAPTURE(routeCase.host_);
+        CAPTURE(routeCase.path_);
+        const auto *found = findRoute(configuration, routeCase.host_, routeCase.path_);
+        CHECK((found == nullptr ? std::string {} : found->name_) == routeCase.expected_);
+    }
+}
--- a/libraries/version/ruleproblem.h
+++ b/libraries/version/ruleproblem.h
@@ -20,4 +20,11 @@
     auto operator==(const RuleProblem &other) const -> bool = default;
 };
 
+/** Formats a problem as "file:line: field: message". */
+[[nodiscard]] inline auto describe(const RuleProblem &problem) -> std::string
+{
+    const auto field = problem.field_.empty() ? std::string {} : problem.field_ + ": ";
+    return problem.file_ + ":" + std::to_string(problem.line_) + ": " + field + problem.message_;
+}
+
 }
