--- a/libraries/connection/configurationstore.cpp
+++ b/libraries/connection/configurationstore.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <variant>
 
 namespace lycheecleat
 {
@@ -77,20 +78,27 @@
     return makeError(checkStep, "", text);
 }
 
-/** Creates a chunk. Its key is its digest, so a chunk that exists already is the same, and a repeat after a lost reply is harmless. */
+/** Creates a chunk. Its key is its digest, so a repeat after a lost reply is harmless. */
+auto createChunk(const StoreFunctions &store, const std::string &digest, const std::string &content) -> Result<void>
+{
+    BOOST_LEAF_AUTO(result, store.compareAndSwap_(chunkKeyPrefix + digest, 0, content));
+    if (result.entry_.value_ != content) {
+        return makeError("write chunk", digest, "the store holds other content under this key");
+    }
+    return {};
+}
+
 auto writeChunk(const StoreFunctions &store, const std::string &digest, const std::string &content) -> Result<void>
 {
-    const auto key = chunkKeyPrefix + digest;
     for (auto failures = 1; failures < maximumFailedCalls; ++failures) {
         const auto outcome = attempt([&]() {
-            return store.compareAndSwap_(key, 0, content);
+            return createChunk(store, digest, content);
         });
-        if (std::holds_alternative<SwapResult>(outcome)) {
+        if (std::holds_alternative<std::monostate>(outcome)) {
             return {};
         }
     }
-    BOOST_LEAF_CHECK(store.compareAndSwap_(key, 0, content));
-    return {};
+    return createChunk(store, digest, content);
 }
 
 auto writeMissingChunks(const StoreFunctions &store, const Bundle &current, const Bundle &next) -> Result<void>
