--- a/libraries/version/bundle.cpp
+++ b/libraries/version/bundle.cpp
@@ -16,7 +16,6 @@
 
 using Json = nlohmann::json;
 
-constexpr auto packStep = "pack bundle";
 constexpr auto unpackStep = "unpack bundle";
 constexpr auto headStep = "parse head record";
 
--- a/libraries/version/bundle.h
+++ b/libraries/version/bundle.h
@@ -28,6 +28,9 @@
 /** Change identifiers kept in the head, newest last. */
 inline constexpr auto maximumChanges = std::size_t { 64 };
 
+/** Step of the errors of packBundle. */
+inline constexpr auto packStep = "pack bundle";
+
 /** Step of the error that mergeEdits gives for a conflict. */
 inline constexpr auto mergeStep = "merge edits";
 
--- a/libraries/version/rulefolder.cpp
+++ b/libraries/version/rulefolder.cpp
@@ -126,7 +126,7 @@
     auto stream = std::ifstream(path, std::ios::binary);
     auto content = std::string(std::istreambuf_iterator<char>(stream), {});
     if (!stream.is_open() || stream.bad()) {
-        return makeError("read rule file", path.string(), "the file cannot be read");
+        return makeError(readFolderStep, path.string(), "the file cannot be read");
     }
     return content;
 }
@@ -152,7 +152,7 @@
         entry.increment(error);
     }
     if (error) {
-        return makeError("read rule folder", folder.string(), error.message());
+        return makeError(readFolderStep, folder.string(), error.message());
     }
     return paths;
 }
--- a/libraries/version/rulefolder.h
+++ b/libraries/version/rulefolder.h
@@ -12,6 +12,9 @@
 namespace lycheecleat
 {
 
+/** Step of the errors of readRuleFolder. */
+inline constexpr auto readFolderStep = "read rule folder";
+
 /** A configuration, valid only when there are no problems. */
 struct CheckedRules
 {
