--- /dev/null
+++ b/libraries/connection/storeclienttest.cpp
@@ -0,0 +1,254 @@
+#include "connection/storeclient.h"
+
+#include "support/storeserver.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+/** A running store and a client of it. */
+struct Fixture
+{
+    explicit Fixture(standin::StoreLimits limits = {}, absl::Duration timeout = absl::Milliseconds(500))
+        : store_(limits)
+        , started_(store_.start("127.0.0.1:0"))
+        , client_(StoreSettings { store_.address(), timeout })
+    {
+        REQUIRE(started_);
+    }
+
+    auto control(const std::string &name, const std::string &body) -> std::string
+    {
+        auto connection = httplib::Client("http://" + store_.address());
+        const auto answer = connection.Post("/control/" + name, body, "application/json");
+        REQUIRE(answer);
+        REQUIRE(answer->status == 200);
+        return answer->body;
+    }
+
+    auto get(const std::string &key) -> std::variant<StoreEntry, Error>
+    {
+        return attempt([&] {
+            return client_.get(key);
+        });
+    }
+
+    auto swap(const std::string &key, std::int64_t expectedVersion, const std::string &value, absl::Duration timeToLive = absl::ZeroDuration())
+        -> std::variant<SwapResult, Error>
+    {
+        return attempt([&] {
+            return client_.compareAndSwap(key, expectedVersion, value, timeToLive);
+        });
+    }
+
+    standin::StoreServer store_;
+    bool started_ = false;
+    StoreClient client_;
+};
+
+auto messageOf(const std::variant<SwapResult, Error> &outcome) -> std::string
+{
+    return std::holds_alternative<Error>(outcome) ? describe(std::get<Error>(outcome)) : "";
+}
+
+}
+
+// Guards against keys that reach the store altered by encoding.
+TEST_CASE("a written value is read back under the same key")
+{
+    auto fixture = Fixture {};
+    const auto largeValue = std::string(std::size_t { 1 } << 20, 'x');
+    const auto cases = std::vector<std::pair<std::string, std::string>> {
+        { "head", "{\"revision\":1}" },
+        { "once/org/0123", "running" },
+        { "a key/with %2F?&=#+ signs/ö", "line\nwith \"quotes\" and \\" },
+        { "large", largeValue },
+    };
+    for (const auto &item : cases) {
+        const auto &key = item.first;
+        const auto &value = item.second;
+        CAPTURE(key);
+        const auto absent = fixture.get(key);
+        REQUIRE(std::holds_alternative<StoreEntry>(absent));
+        CHECK(std::get<StoreEntry>(absent).version_ == 0);
+        const auto written = fixture.swap(key, 0, value);
+        REQUIRE(std::holds_alternative<SwapResult>(written));
+        CHECK(std::get<SwapResult>(written).swapped_);
+        const auto read = fixture.get(key);
+        REQUIRE(std::holds_alternative<StoreEntry>(read));
+        CHECK(std::get<StoreEntry>(read) == std::get<SwapResult>(written).entry_);
+        CHECK(std::get<StoreEntry>(read).value_ == value);
+    }
+}
+
+// Guards against two writers that both believe they won.
+TEST_CASE("compareAndSwap with another version changes nothing and returns the present entry")
+{
+    auto fixture = Fixture {};
+    const auto first = std::get<SwapResult>(fixture.swap("head", 0, "first"));
+    const auto second = std::get<SwapResult>(fixture.swap("head", 0, "second"));
+    CHECK_FALSE(second.swapped_);
+    CHECK(second.entry_ == first.entry_);
+    CHECK(std::get<StoreEntry>(fixture.get("head")).value_ == "first");
+}
+
+// Guards against a claim that outlives its time to live, or that ends before it.
+TEST_CASE("an entry with a time to live expires")
+{
+    auto fixture = Fixture {};
+    REQUIRE(std::get<SwapResult>(fixture.swap("once/org/1", 0, "claim", absl::Seconds(30))).swapped_);
+    REQUIRE(std::get<SwapResult>(fixture.swap("once/org/2", 0, "claim", absl::Milliseconds(50))).swapped_);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(std::get<StoreEntry>(fixture.get("once/org/1")).version_ > 0);
+    CHECK(std::get<StoreEntry>(fixture.get("once/org/2")).version_ == 0);
+}
+
+// Guards against a watch that polls: a change must be answered at once and counted as one call.
+TEST_CASE("watch answers when the key changes")
+{
+    auto fixture = Fixture {};
+    auto writer = std::thread([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        [[maybe_unused]] const auto written = fixture.swap("head", 0, "next");
+    });
+    const auto outcome = attempt([&] {
+        return fixture.client_.watch("head", 0, absl::Seconds(20));
+    });
+    writer.join();
+    REQUIRE(std::holds_alternative<StoreEntry>(outcome));
+    CHECK(std::get<StoreEntry>(outcome).value_ == "next");
+    const auto counts = fixture.control("counts", "{}");
+    CAPTURE(counts);
+    CHECK(counts.find("\"watch\":1") != std::string::npos);
+    CHECK(counts.find("\"read\":0") != std::string::npos);
+}
+
+// Guards against a watch that takes the end of its wait for a failure.
+TEST_CASE("watch returns the unchanged entry after the wait, even when the wait is longer than the call timeout")
+{
+    auto fixture = Fixture({}, absl::Milliseconds(200));
+    const auto written = std::get<SwapResult>(fixture.swap("head", 0, "same"));
+    const auto outcome = attempt([&] {
+        return fixture.client_.watch("head", written.entry_.version_, absl::Milliseconds(400));
+    });
+    REQUIRE(std::holds_alternative<StoreEntry>(outcome));
+    CHECK(std::get<StoreEntry>(outcome) == written.entry_);
+}
+
+// Guards against a lost reply that is reported as a write that did not happen.
+TEST_CASE("a write whose reply is lost says that it may have taken effect, and the effect can be read")
+{
+    auto fixture = Fixture {};
+    fixture.control("lose-replies", R"({"count": 1})");
+    const auto lost = fixture.swap("head", 0, "written");
+    CHECK(messageOf(lost).find("the write may have taken effect") != std::string::npos);
+    const auto read = fixture.get("head");
+    REQUIRE(std::holds_alternative<StoreEntry>(read));
+    CHECK(std::get<StoreEntry>(read).value_ == "written");
+}
+
+// Guards against a late reply that is taken for the reply of a later call on the same connection.
+TEST_CASE("a late reply reaches no later call")
+{
+    auto fixture = Fixture({}, absl::Milliseconds(100));
+    REQUIRE(std::holds_alternative<StoreEntry>(fixture.get("warm-up")));
+    fixture.control("slow", R"({"delay_ms": 300})");
+    const auto late = fixture.swap("late", 0, "late value");
+    CHECK(messageOf(late).find("the write may have taken effect") != std::string::npos);
+    fixture.control("slow", R"({"delay_ms": 0})");
+    for (auto call = 0; call < 10; ++call) {
+        const auto read = fixture.get("other");
+        REQUIRE(std::holds_alternative<StoreEntry>(read));
+        CHECK(std::get<StoreEntry>(read) == StoreEntry {});
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    CHECK(std::get<StoreEntry>(fixture.get("late")).value_ == "late value");
+}
+
+// Guards against an outage that is reported as an absent key, and against a client that stays broken after it.
+TEST_CASE("calls fail during an outage and work again after it")
+{
+    auto fixture = Fixture {};
+    REQUIRE(std::get<SwapResult>(fixture.swap("head", 0, "value")).swapped_);
+    fixture.control("outage", R"({"on": true})");
+    CHECK(std::holds_alternative<Error>(fixture.get("head")));
+    CHECK(messageOf(fixture.swap("head", 1, "next")).find("the write may have taken effect") != std::string::npos);
+    fixture.control("outage", R"({"on": false})");
+    CHECK(std::get<StoreEntry>(fixture.get("head")).value_ == "value");
+}
+
+// Guards against a call that is refused by the store's limit and looks like an answer.
+TEST_CASE("calls beyond the store's limit are errors")
+{
+    auto fixture = Fixture(standin::StoreLimits { 5, 0 });
+    auto refused = 0;
+    for (auto call = 0; call < 20; ++call) {
+        refused += std::holds_alternative<Error>(fixture.get("head")) ? 1 : 0;
+    }
+    CHECK(refused > 0);
+    CHECK(refused <= 15);
+}
+
+// Guards against a client that hangs or crashes when nothing listens.
+TEST_CASE("an unreachable store is an error that names its address")
+{
+    auto client = StoreClient(StoreSettings { "127.0.0.1:1", absl::Milliseconds(200) });
+    const auto outcome = attempt([&] {
+        return client.get("head");
+    });
+    REQUIRE(std::holds_alternative<Error>(outcome));
+    CHECK(std::get<Error>(outcome).peer_ == "127.0.0.1:1");
+}
+
+// Guards against a host list that shows a change before its lag has passed or without a new sequence number.
+TEST_CASE("the host list follows its changes with the lag")
+{
+    auto fixture = Fixture {};
+    const auto list = [&] {
+        return std::get<HostList>(attempt([&] {
+            return fixture.client_.hostList();
+        }));
+    };
+    CHECK(list() == HostList {});
+    fixture.control("hosts", R"({"hosts": [{"name": "b1", "address": "127.0.0.9", "leaving": true}], "lag_ms": 100})");
+    CHECK(list().hosts_.empty());
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    CHECK(list() == HostList { 1, { ListedHost { "b1", "127.0.0.9", true } } });
+}
+
+// Guards against pooled connections shared by two threads at once: each thread must read its own values.
+TEST_CASE("many threads use one client")
+{
+    auto fixture = Fixture({}, absl::Seconds(10));
+    auto wrongAnswers = std::atomic<int> { 0 };
+    auto threads = std::vector<std::thread> {};
+    for (auto number = 0; number < 16; ++number) {
+        threads.emplace_back([&fixture, &wrongAnswers, number] {
+            const auto key = "thread/" + std::to_string(number);
+            for (auto round = 0; round < 30; ++round) {
+                const auto before = fixture.get(key);
+                const auto version = std::holds_alternative<StoreEntry>(before) ? std::get<StoreEntry>(before).version_ : -1;
+                const auto value = key + "#" + std::to_string(round);
+                const auto written = fixture.swap(key, version, value);
+                const auto after = fixture.get(key);
+                const auto isRight = std::holds_alternative<SwapResult>(written) && std::get<SwapResult>(written).swapped_
+                    && std::holds_alternative<StoreEntry>(after) && std::get<StoreEntry>(after).value_ == value;
+                wrongAnswers += isRight ? 0 : 1;
+            }
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    CHECK(wrongAnswers == 0);
+}
--- /dev/null
+++ b/tests/standins/support/httpserver.cpp
@@ -0,0 +1,412 @@
+#include "support/httpserver.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+namespace standin
+{
+
+namespace
+{
+
+/** Connection bursts of tests are larger than the usual backlog of a few connections. */
+constexpr auto listenBacklog = 4096;
+constexpr auto maximumHeaderBytes = std::size_t { 64 } * 1024;
+constexpr auto maximumBodyBytes = std::size_t { 64 } * 1024 * 1024;
+constexpr auto pollMilliseconds = 100;
+
+auto lowerCase(std::string text) -> std::string
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
+    return text;
+}
+
+auto trim(const std::string &text) -> std::string
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+auto percentDecode(const std::string &text) -> std::string
+{
+    auto decoded = std::string {};
+    for (auto index = std::size_t { 0 }; index < text.size(); ++index) {
+        auto value = 0;
+        const auto *digits = text.data() + index + 1;
+        if (text[index] == '%' && index + 2 < text.size() && std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2) {
+            decoded += static_cast<char>(value);
+            index += 2;
+        } else {
+            decoded += text[index];
+        }
+    }
+    return decoded;
+}
+
+auto parseQuery(const std::string &text) -> std::map<std::string, std::string>
+{
+    auto query = std::map<std::string, std::string> {};
+    for (auto begin = std::size_t { 0 }; begin < text.size();) {
+        const auto end = std::min(text.find('&', begin), text.size());
+        const auto part = text.substr(begin, end - begin);
+        const auto equals = std::min(part.find('='), part.size());
+        query[percentDecode(part.substr(0, equals))] = equals < part.size() ? percentDecode(part.substr(equals + 1)) : "";
+        begin = end + 1;
+    }
+    return query;
+}
+
+/** Reads a connection byte stream into a buffer. */
+class Reader
+{
+public:
+    Reader(int socket, const std::atomic<bool> &stopping)
+        : socket_(socket)
+        , stopping_(stopping)
+    {
+    }
+
+    /** Receives more bytes into the buffer; false when the connection has ended or the server stops. */
+    auto receive() -> bool
+    {
+        auto chunk = std::array<char, 16384> {};
+        auto descriptor = pollfd { socket_, POLLIN, 0 };
+        while (!stopping_) {
+            const auto ready = poll(&descriptor, 1, pollMilliseconds);
+            if (ready == 0) {
+                continue;
+            }
+            const auto count = ready < 0 ? -1 : recv(socket_, chunk.data(), chunk.size(), 0);
+            if (count <= 0) {
+                return false;
+            }
+            buffer_.append(chunk.data(), static_cast<std::size_t>(count));
+            return true;
+        }
+        return false;
+    }
+
+    /** Makes at least this many bytes available. */
+    auto require(std::size_t count) -> bool
+    {
+        while (buffer_.size() < count) {
+            if (!receive()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Position after the next occurrence of a mark at or after the offset, receiving as needed; npos when there is none. */
+    auto findAfter(const std::string &mark, std::size_t offset, std::size_t limit) -> std::size_t
+    {
+        while (true) {
+            const auto position = buffer_.find(mark, offset);
+            if (position != std::string::npos) {
+                return position + mark.size();
+            }
+            if (buffer_.size() > offset + limit || !receive()) {
+                return std::string::npos;
+            }
+        }
+    }
+
+    auto buffer() -> std::string &
+    {
+        return buffer_;
+    }
+
+private:
+    int socket_;
+    const std::atomic<bool> &stopping_;
+    std::string buffer_;
+};
+
+auto parseHead(const std::string &head, HttpRequest &request) -> bool
+{
+    auto begin = std::size_t { 0 };
+    auto isFirst = true;
+    while (begin < head.size()) {
+        const auto end = std::min(head.find("\r\n", begin), head.size());
+        const auto line = head.substr(begin, end - begin);
+        begin = end + 2;
+        if (isFirst) {
+            const auto space = line.find(' ');
+            const auto secondSpace = line.find(' ', space + 1);
+            if (space == std::string::npos || secondSpace == std::string::npos) {
+                return false;
+            }
+            request.method_ = line.substr(0, space);
+            const auto target = line.substr(space + 1, secondSpace - space - 1);
+            const auto mark = std::min(target.find('?'), target.size());
+            request.path_ = percentDecode(target.substr(0, mark));
+            request.query_ = mark < target.size() ? parseQuery(target.substr(mark + 1)) : std::map<std::string, std::string> {};
+            isFirst = false;
+            continue;
+        }
+        const auto colon = line.find(':');
+        if (colon != std::string::npos) {
+            request.headers_.emplace_back(lowerCase(line.substr(0, colon)), trim(line.substr(colon + 1)));
+        }
+    }
+    return !isFirst;
+}
+
+/** Reads a chunked body that starts at the offset; gives the end of the body in the buffer. */
+auto readChunkedBody(Reader &reader, std::size_t offset, std::string &body) -> std::optional<std::size_t>
+{
+    while (body.size() <= maximumBodyBytes) {
+        const auto lineEnd = reader.findAfter("\r\n", offset, maximumHeaderBytes);
+        if (lineEnd == std::string::npos) {
+            return std::nullopt;
+        }
+        auto size = std::size_t { 0 };
+        const auto *begin = reader.buffer().data() + offset;
+        if (std::from_chars(begin, reader.buffer().data() + lineEnd, size, 16).ptr == begin || size > maximumBodyBytes) {
+            return std::nullopt;
+        }
+        if (!reader.require(lineEnd + size + 2)) {
+            return std::nullopt;
+        }
+        body += reader.buffer().substr(lineEnd, size);
+        offset = lineEnd + size + 2;
+        if (size == 0) {
+            return offset;
+        }
+    }
+    return std::nullopt;
+}
+
+/** Reads the next request of a connection. */
+auto readRequest(Reader &reader) -> std::optional<HttpRequest>
+{
+    const auto headEnd = reader.findAfter("\r\n\r\n", 0, maximumHeaderBytes);
+    if (headEnd == std::string::npos) {
+        return std::nullopt;
+    }
+    auto request = HttpRequest {};
+    if (!parseHead(reader.buffer().substr(0, headEnd - 4), request)) {
+        return std::nullopt;
+    }
+    auto end = headEnd;
+    const auto length = headerOf(request, "content-length");
+    if (lowerCase(headerOf(request, "transfer-encoding")) == "chunked") {
+        const auto bodyEnd = readChunkedBody(reader, headEnd, request.body_);
+        if (!bodyEnd) {
+            return std::nullopt;
+        }
+        end = *bodyEnd;
+    } else if (!length.empty()) {
+        auto size = std::size_t { 0 };
+        std::from_chars(length.data(), length.data() + length.size(), size);
+        if (size > maximumBodyBytes || !reader.require(headEnd + size)) {
+            return std::nullopt;
+        }
+        request.body_ = reader.buffer().substr(headEnd, size);
+        end = headEnd + size;
+    }
+    request.raw_ = reader.buffer().substr(0, end);
+    reader.buffer().erase(0, end);
+    return request;
+}
+
+auto sendAll(int socket, const std::string &bytes) -> bool
+{
+    for (auto sent = std::size_t { 0 }; sent < bytes.size();) {
+        const auto count = send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            return false;
+        }
+        sent += static_cast<std::size_t>(count);
+    }
+    return true;
+}
+
+/** Sends an answer; false when the connection is to be closed. */
+auto sendAnswer(int socket, const HttpRequest &request, const HttpAnswer &answer) -> bool
+{
+    if (answer.dropped_) {
+        return false;
+    }
+    const auto closing = answer.closing_ || answer.withoutLength_ || answer.cutAfter_.has_value() || lowerCase(headerOf(request, "connection")) == "close";
+    auto text = fmt::format("HTTP/1.1 {} Status\r\n", answer.status_);
+    for (const auto &[name, value] : answer.headers_) {
+        text += fmt::format("{}: {}\r\n", name, value);
+    }
+    if (!answer.withoutLength_) {
+        text += fmt::format("Content-Length: {}\r\n", answer.body_.size());
+    }
+    // An answer that is cut short does not announce that the connection will close.
+    if (closing && !answer.cutAfter_) {
+        text += "Connection: close\r\n";
+    }
+    text += "\r\n";
+    if (request.method_ != "HEAD") {
+        text += answer.body_.substr(0, answer.cutAfter_.value_or(answer.body_.size()));
+    }
+    return sendAll(socket, text) && !closing;
+}
+
+}
+
+auto headerOf(const HttpRequest &request, const std::string &name) -> std::string
+{
+    for (const auto &[headerName, value] : request.headers_) {
+        if (headerName == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+auto isPeerClosed(int socket) -> bool
+{
+    auto descriptor = pollfd { socket, POLLIN | POLLRDHUP, 0 };
+    if (poll(&descriptor, 1, 0) <= 0) {
+        return false;
+    }
+    return (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+auto jsonAnswer(int status, std::string text) -> HttpAnswer
+{
+    auto answer = HttpAnswer {};
+    answer.status_ = status;
+    answer.headers_.emplace_back("Content-Type", "application/json");
+    answer.body_ = std::move(text);
+    return answer;
+}
+
+HttpServer::HttpServer(HttpHandler handler, int maximumConnections)
+    : handler_(std::move(handler))
+    , maximumConnections_(maximumConnections)
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+auto HttpServer::start(const std::string &address) -> bool
+{
+    const auto colon = address.rfind(':');
+    auto port = 0;
+    if (colon == std::string::npos || std::from_chars(address.data() + colon + 1, address.data() + address.size(), port).ec != std::errc {}) {
+        return false;
+    }
+    auto local = sockaddr_in {};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(static_cast<std::uint16_t>(port));
+    if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &local.sin_addr) != 1) {
+        return false;
+    }
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto on = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(listener_, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) != 0 || listen(listener_, listenBacklog) != 0) {
+        close(listener_);
+        listener_ = -1;
+        return false;
+    }
+    auto size = socklen_t { sizeof(local) };
+    getsockname(listener_, reinterpret_cast<sockaddr *>(&local), &size);
+    address_ = fmt::format("{}:{}", address.substr(0, colon), ntohs(local.sin_port));
+    acceptor_ = std::thread([this] {
+        acceptLoop();
+    });
+    return true;
+}
+
+auto HttpServer::address() const -> const std::string &
+{
+    return address_;
+}
+
+auto HttpServer::stop() -> void
+{
+    stopping_ = true;
+    if (acceptor_.joinable()) {
+        acceptor_.join();
+    }
+    closeConnections();
+    auto lock = std::unique_lock(mutex_);
+    changed_.wait(lock, [this] {
+        return sockets_.empty();
+    });
+}
+
+auto HttpServer::closeConnections() -> void
+{
+    const auto lock = std::lock_guard(mutex_);
+    for (const auto socket : sockets_) {
+        shutdown(socket, SHUT_RDWR);
+    }
+}
+
+auto HttpServer::connectionCount() -> int
+{
+    const auto lock = std::lock_guard(mutex_);
+    return static_cast<int>(sockets_.size());
+}
+
+auto HttpServer::acceptLoop() -> void
+{
+    auto descriptor = pollfd { listener_, POLLIN, 0 };
+    while (!stopping_) {
+        if (poll(&descriptor, 1, pollMilliseconds) <= 0) {
+            continue;
+        }
+        const auto socket = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (socket < 0) {
+            continue;
+        }
+        const auto on = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        {
+            const auto lock = std::lock_guard(mutex_);
+            if (static_cast<int>(sockets_.size()) >= maximumConnections_) {
+                close(socket);
+                continue;
+            }
+            sockets_.insert(socket);
+        }
+        std::thread([this, socket] {
+            serve(socket);
+        }).detach();
+    }
+    close(listener_);
+}
+
+auto HttpServer::serve(int socket) -> void
+{
+    auto reader = Reader(socket, stopping_);
+    while (auto request = readRequest(reader)) {
+        request->socket_ = socket;
+        if (!sendAnswer(socket, *request, handler_(*request))) {
+            break;
+        }
+    }
+    const auto lock = std::lock_guard(mutex_);
+    sockets_.erase(socket);
+    close(socket);
+    // Notified under the lock: the server may be destroyed as soon as the lock is free.
+    changed_.notify_all();
+}
+
+}
--- /dev/null
+++ b/tests/standins/support/httpserver.h
@@ -0,0 +1,104 @@
+/** HTTP server of the stand-ins: one thread per connection, with control over every byte of an answer and a copy of every byte received. */
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace standin
+{
+
+/** A received request. */
+struct HttpRequest
+{
+    std::string method_;
+    /** Path without the query, percent-decoded. */
+    std::string path_;
+    std::map<std::string, std::string> query_;
+    /** Names in lower case, in the order received. */
+    std::vector<std::pair<std::string, std::string>> headers_;
+    std::string body_;
+    /** All bytes as received, from the request line to the end of the body. */
+    std::string raw_;
+    /** Descriptor of the connection, to find out whether the peer has closed it. */
+    int socket_ = -1;
+};
+
+/** An answer and how to send it. */
+struct HttpAnswer
+{
+    int status_ = 200;
+    std::vector<std::pair<std::string, std::string>> headers_;
+    std::string body_;
+    /** Closes the connection without sending anything. */
+    bool dropped_ = false;
+    /** Sends no Content-Length and ends the body by closing the connection. */
+    bool withoutLength_ = false;
+    /** Sends only this many bytes of the body and closes the connection. */
+    std::optional<std::size_t> cutAfter_;
+    /** Closes the connection after the answer. */
+    bool closing_ = false;
+};
+
+/** Computes the answer of a request. Called from many threads. */
+using HttpHandler = std::function<HttpAnswer(const HttpRequest &)>;
+
+/** First value of a header whose name is given in lower case; empty when it is absent. */
+[[nodiscard]] auto headerOf(const HttpRequest &request, const std::string &name) -> std::string;
+
+/** Whether the peer has closed or reset the connection. */
+[[nodiscard]] auto isPeerClosed(int socket) -> bool;
+
+/** An answer with a JSON text. */
+[[nodiscard]] auto jsonAnswer(int status, std::string text) -> HttpAnswer;
+
+/** The server. The destructor stops it. */
+class HttpServer
+{
+public:
+    /** A connection above the limit is closed at once. */
+    HttpServer(HttpHandler handler, int maximumConnections);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    auto operator=(const HttpServer &) -> HttpServer & = delete;
+
+    /** Listens on "IP:PORT" (port 0: any) and accepts in its own thread; false when the address can't be used. */
+    [[nodiscard]] auto start(const std::string &address) -> bool;
+
+    /** The bound address with its port. */
+    [[nodiscard]] auto address() const -> const std::string &;
+
+    /** Closes the listener and all connections and waits for their threads. */
+    auto stop() -> void;
+
+    /** Closes all open connections; the listener stays. */
+    auto closeConnections() -> void;
+
+    /** Connections open now. */
+    [[nodiscard]] auto connectionCount() -> int;
+
+private:
+    auto acceptLoop() -> void;
+    auto serve(int socket) -> void;
+
+    HttpHandler handler_;
+    int maximumConnections_;
+    int listener_ = -1;
+    std::string address_;
+    std::atomic<bool> stopping_ = false;
+    std::thread acceptor_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::set<int> sockets_;
+};
+
+}
--- /dev/null
+++ b/tests/standins/support/storeserver.cpp
@@ -0,0 +1,356 @@
+#include "support/storeserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <thread>
+
+namespace standin
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+/** The fleet keeps some connections per host; a waiting watch holds one. */
+constexpr auto maximumConnections = 4000;
+constexpr auto maximumValueBytes = std::size_t { 1 } << 20;
+
+constexpr auto statusOk = 200;
+constexpr auto statusBadRequest = 400;
+constexpr auto statusNotFound = 404;
+constexpr auto statusConflict = 409;
+constexpr auto statusTooLarge = 413;
+constexpr auto statusTooManyRequests = 429;
+
+auto answerOf(int status, const Json &body) -> HttpAnswer
+{
+    return jsonAnswer(status, body.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+auto errorAnswer(int status, const std::string &message) -> HttpAnswer
+{
+    return answerOf(status, Json { { "error", message } });
+}
+
+auto parseBody(const std::string &text) -> Json
+{
+    auto body = text.empty() ? Json::object() : Json::parse(text, nullptr, false);
+    return body.is_object() ? body : Json();
+}
+
+auto numberOf(const HttpRequest &request, const std::string &name) -> std::int64_t
+{
+    const auto found = request.query_.find(name);
+    auto value = std::int64_t { 0 };
+    if (found != request.query_.end()) {
+        std::from_chars(found->second.data(), found->second.data() + found->second.size(), value);
+    }
+    return value;
+}
+
+/** The rest of a path after a prefix; none when the path has another prefix. */
+auto afterPrefix(const std::string &path, const std::string &prefix) -> std::optional<std::string>
+{
+    if (path.compare(0, prefix.size(), prefix) != 0) {
+        return std::nullopt;
+    }
+    return path.substr(prefix.size());
+}
+
+}
+
+StoreServer::StoreServer(StoreLimits limits)
+    : readLimit_ { limits.readsPerSecond_, limits.readsPerSecond_, Clock::now() }
+    , writeLimit_ { limits.writesPerSecond_, limits.writesPerSecond_, Clock::now() }
+    , server_(
+          [this](const HttpRequest &request) {
+              return handle(request);
+          },
+          maximumConnections)
+{
+}
+
+StoreServer::~StoreServer()
+{
+    {
+        const auto lock = Lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    server_.stop();
+}
+
+auto StoreServer::start(const std::string &address) -> bool
+{
+    return server_.start(address);
+}
+
+auto StoreServer::address() const -> const std::string &
+{
+    return server_.address();
+}
+
+auto StoreServer::handle(const HttpRequest &request) -> HttpAnswer
+{
+    try {
+        if (afterPrefix(request.path_, "/control/")) {
+            return handleControl(request);
+        }
+        auto answer = handleStore(request);
+        // The call has taken effect by now, so a caller that gives up during the delay meets a late reply.
+        const auto delay = [this] {
+            const auto lock = Lock(mutex_);
+            return faults_.delay_;
+        }();
+        std::this_thread::sleep_for(delay);
+        const auto lock = Lock(mutex_);
+        answer.dropped_ = answer.dropped_ || faults_.outage_;
+        return answer;
+    } catch (const Json::exception &exception) {
+        return errorAnswer(statusBadRequest, exception.what());
+    }
+}
+
+auto StoreServer::handleStore(const HttpRequest &request) -> HttpAnswer
+{
+    auto lock = Lock(mutex_);
+    if (faults_.outage_) {
+        ++counts_["refused_outage"];
+        auto answer = HttpAnswer {};
+        answer.dropped_ = true;
+        return answer;
+    }
+    removeExpired(Clock::now());
+    const auto isRead = request.method_ == "GET";
+    const auto isWatch = isRead && request.query_.count("wait_ms") > 0;
+    const auto key = afterPrefix(request.path_, "/v1/keys/");
+    const auto lease = afterPrefix(request.path_, "/v1/leases");
+    const auto kind = !key ? (lease ? "lease" : "hosts") : (isWatch ? "watch" : (isRead ? "read" : "write"));
+    ++counts_[kind];
+    if (!admit(isRead ? readLimit_ : writeLimit_)) {
+        ++counts_["refused_limit"];
+        return errorAnswer(statusTooManyRequests, "call limit reached");
+    }
+    if (key && isRead) {
+        return readKey(lock, KeyCall { *key, numberOf(request, "version"), milliseconds(numberOf(request, "wait_ms")) });
+    }
+    if (key && request.method_ == "PUT") {
+        return writeKey(*key, request);
+    }
+    if (lease) {
+        return handleLease(*lease, request);
+    }
+    if (request.path_ == "/v1/hosts" && isRead) {
+        return hostList();
+    }
+    return errorAnswer(statusNotFound, "unknown call");
+}
+
+auto StoreServer::readKey(Lock &lock, const KeyCall &call) -> HttpAnswer
+{
+    const auto deadline = Clock::now() + call.wait_;
+    const auto versionNow = [&] {
+        const auto found = data_.entries_.find(call.key_);
+        return found == data_.entries_.end() ? std::int64_t { 0 } : found->second.version_;
+    };
+    ++waitingWatches_;
+    while (versionNow() == call.knownVersion_ && Clock::now() < deadline && !faults_.outage_ && !stopping_) {
+        changed_.wait_until(lock, nextExpiry(deadline));
+        removeExpired(Clock::now());
+    }
+    --waitingWatches_;
+    const auto found = data_.entries_.find(call.key_);
+    if (found == data_.entries_.end()) {
+        return answerOf(statusNotFound, Json { { "version", 0 } });
+    }
+    return answerOf(statusOk, Json { { "value", found->second.value_ }, { "version", found->second.version_ } });
+}
+
+auto StoreServer::writeKey(const std::string &key, const HttpRequest &request) -> HttpAnswer
+{
+    const auto body = parseBody(request.body_);
+    if (body.is_null() || !body.contains("value")) {
+        return errorAnswer(statusBadRequest, "the body is not a JSON object with a value");
+    }
+    const auto value = body.at("value").get<std::string>();
+    if (value.size() > maximumValueBytes) {
+        return errorAnswer(statusTooLarge, "the value is larger than 1 MiB");
+    }
+    const auto lease = body.value("lease", std::string {});
+    if (!lease.empty() && data_.leases_.count(lease) == 0) {
+        return errorAnswer(statusNotFound, "the lease has ended");
+    }
+    const auto found = data_.entries_.find(key);
+    const auto version = found == data_.entries_.end() ? std::int64_t { 0 } : found->second.version_;
+    auto answer = HttpAnswer {};
+    if (version != body.value("expected_version", std::int64_t { 0 })) {
+        ++counts_["conflict"];
+        answer = answerOf(statusConflict, Json { { "value", version == 0 ? "" : found->second.value_ }, { "version", version } });
+    } else {
+        const auto timeToLive = milliseconds(body.value("time_to_live_ms", std::int64_t { 0 }));
+        const auto expiry = timeToLive.count() > 0 ? std::optional(Clock::now() + timeToLive) : std::nullopt;
+        data_.entries_[key] = Entry { value, ++data_.lastVersion_, expiry, lease };
+        changed_.notify_all();
+        answer = answerOf(statusOk, Json { { "version", data_.lastVersion_ } });
+    }
+    if (faults_.repliesToLose_ > 0) {
+        --faults_.repliesToLose_;
+        ++counts_["lost_reply"];
+        answer.dropped_ = true;
+    }
+    return answer;
+}
+
+auto StoreServer::handleLease(const std::string &rest, const HttpRequest &request) -> HttpAnswer
+{
+    if (rest.empty() && request.method_ == "POST") {
+        const auto timeToLive = milliseconds(parseBody(request.body_).at("time_to_live_ms").get<std::int64_t>());
+        const auto id = "lease-" + std::to_string(++lastLease_);
+        data_.leases_[id] = Lease { timeToLive, Clock::now() + timeToLive };
+        return answerOf(statusOk, Json { { "lease", id } });
+    }
+    const auto suffix = std::string { "/renew" };
+    const auto isRenewal = rest.size() > suffix.size() && rest.compare(rest.size() - suffix.size(), suffix.size(), suffix) == 0;
+    const auto id = rest.empty() ? rest : rest.substr(1, rest.size() - 1 - (isRenewal ? suffix.size() : 0));
+    const auto found = data_.leases_.find(id);
+    if (found == data_.leases_.end()) {
+        return errorAnswer(statusNotFound, "the lease has ended");
+    }
+    if (isRenewal && request.method_ == "POST") {
+        found->second.expiry_ = Clock::now() + found->second.timeToLive_;
+        return answerOf(statusOk, Json { { "lease", id } });
+    }
+    if (request.method_ == "DELETE") {
+        removeLease(id);
+        return answerOf(statusOk, Json { { "lease", id } });
+    }
+    return errorAnswer(statusNotFound, "unknown call");
+}
+
+auto StoreServer::hostList() -> HttpAnswer
+{
+    while (!pendingHosts_.empty() && pendingHosts_.front().visibleAt_ <= Clock::now()) {
+        hostsJson_ = pendingHosts_.front().hostsJson_;
+        ++hostSequence_;
+        pendingHosts_.pop_front();
+    }
+    return answerOf(statusOk, Json { { "sequence", hostSequence_ }, { "hosts", Json::parse(hostsJson_) } });
+}
+
+auto StoreServer::handleControl(const HttpRequest &request) -> HttpAnswer
+{
+    const auto name = *afterPrefix(request.path_, "/control/");
+    const auto body = parseBody(request.body_);
+    const auto lock = Lock(mutex_);
+    if (name == "counts") {
+        return counts();
+    }
+    if (name == "dump") {
+        return dump();
+    }
+    if (name == "hosts") {
+        return setHosts(request.body_);
+    }
+    if (name == "outage") {
+        faults_.outage_ = body.value("on", true);
+    } else if (name == "slow") {
+        faults_.delay_ = milliseconds(body.value("delay_ms", std::int64_t { 0 }));
+    } else if (name == "lose-replies") {
+        faults_.repliesToLose_ = body.value("count", 1);
+    } else if (name == "snapshot") {
+        snapshot_ = data_;
+    } else if (name == "rewind") {
+        data_ = snapshot_;
+    } else {
+        return errorAnswer(statusNotFound, "unknown control call");
+    }
+    changed_.notify_all();
+    return answerOf(statusOk, Json::object());
+}
+
+auto StoreServer::setHosts(const std::string &text) -> HttpAnswer
+{
+    const auto body = parseBody(text);
+    const auto lag = milliseconds(body.value("lag_ms", std::int64_t { 0 }));
+    pendingHosts_.push_back(HostListChange { Clock::now() + lag, body.at("hosts").dump() });
+    return answerOf(statusOk, Json::object());
+}
+
+auto StoreServer::counts() -> HttpAnswer
+{
+    auto body = Json { { "waiting", waitingWatches_ } };
+    for (const auto *const kind : { "read", "write", "watch", "lease", "hosts", "conflict", "lost_reply", "refused_limit", "refused_outage" }) {
+        body[kind] = counts_[kind];
+    }
+    return answerOf(statusOk, body);
+}
+
+auto StoreServer::dump() -> HttpAnswer
+{
+    auto entries = Json::object();
+    for (const auto &[key, entry] : data_.entries_) {
+        entries[key] = Json { { "value", entry.value_ }, { "version", entry.version_ } };
+    }
+    return answerOf(statusOk, Json { { "entries", entries } });
+}
+
+auto StoreServer::removeExpired(Clock::time_point now) -> void
+{
+    auto endedLeases = std::vector<std::string> {};
+    for (const auto &[id, lease] : data_.leases_) {
+        if (lease.expiry_ <= now) {
+            endedLeases.push_back(id);
+        }
+    }
+    for (const auto &id : endedLeases) {
+        removeLease(id);
+    }
+    const auto removed = std::erase_if(data_.entries_, [&](const auto &item) {
+        return item.second.expiry_ && *item.second.expiry_ <= now;
+    });
+    if (removed > 0) {
+        changed_.notify_all();
+    }
+}
+
+auto StoreServer::removeLease(const std::string &id) -> void
+{
+    std::erase_if(data_.entries_, [&](const auto &item) {
+        return item.second.lease_ == id;
+    });
+    data_.leases_.erase(id);
+    changed_.notify_all();
+}
+
+auto StoreServer::nextExpiry(Clock::time_point limit) -> Clock::time_point
+{
+    for (const auto &[key, entry] : data_.entries_) {
+        limit = std::min(limit, entry.expiry_.value_or(limit));
+    }
+    for (const auto &[id, lease] : data_.leases_) {
+        limit = std::min(limit, lease.expiry_);
+    }
+    return limit;
+}
+
+auto StoreServer::admit(CallLimit &limit) -> bool
+{
+    if (limit.perSecond_ <= 0) {
+        return true;
+    }
+    const auto now = Clock::now();
+    const auto elapsed = std::chrono::duration<double>(now - limit.updated_).count();
+    limit.available_ = std::min(limit.perSecond_, limit.available_ + elapsed * limit.perSecond_);
+    limit.updated_ = now;
+    if (limit.available_ < 1) {
+        return false;
+    }
+    limit.available_ -= 1;
+    return true;
+}
+
+}
--- /dev/null
+++ b/tests/standins/support/storeserver.h
@@ -0,0 +1,133 @@
+/** The store stand-in: compare-and-swap, leases, watches, host list, call limits and injected faults, all in memory. */
+#pragma once
+
+#include "support/httpserver.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace standin
+{
+
+/** Limits of the store. */
+struct StoreLimits
+{
+    /** Reads, waiting watches and host list calls a second; 0 means no limit. Calls beyond it are answered with status 429. */
+    double readsPerSecond_ = 0;
+    /** Writes and lease calls a second; 0 means no limit. */
+    double writesPerSecond_ = 0;
+};
+
+/**
+ * Answers the store protocol under /v1/ and the control calls under /control/:
+ * POST outage {"on"}, slow {"delay_ms"}, lose-replies {"count"}, snapshot, rewind, hosts {"hosts", "lag_ms"}; GET counts, dump.
+ * Control calls are answered during an outage too. Thread-safe.
+ */
+class StoreServer
+{
+public:
+    explicit StoreServer(StoreLimits limits);
+    ~StoreServer();
+    StoreServer(const StoreServer &) = delete;
+    auto operator=(const StoreServer &) -> StoreServer & = delete;
+
+    /** Listens on "IP:PORT" (port 0: any). */
+    [[nodiscard]] auto start(const std::string &address) -> bool;
+    [[nodiscard]] auto address() const -> const std::string &;
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    struct Entry
+    {
+        std::string value_;
+        std::int64_t version_ = 0;
+        std::optional<Clock::time_point> expiry_;
+        std::string lease_;
+    };
+
+    struct Lease
+    {
+        std::chrono::milliseconds timeToLive_ {};
+        Clock::time_point expiry_;
+    };
+
+    /** Everything that a rewind takes back. */
+    struct Data
+    {
+        std::map<std::string, Entry> entries_;
+        std::map<std::string, Lease> leases_;
+        /** One counter for all keys, so that a key that was removed and written again does not repeat a version. */
+        std::int64_t lastVersion_ = 0;
+    };
+
+    struct HostListChange
+    {
+        Clock::time_point visibleAt_;
+        std::string hostsJson_;
+    };
+
+    /** A limit of calls a second with a burst of one second's calls. */
+    struct CallLimit
+    {
+        double perSecond_ = 0;
+        double available_ = 0;
+        Clock::time_point updated_;
+    };
+
+    /** Faults switched on by control calls. */
+    struct Faults
+    {
+        bool outage_ = false;
+        std::chrono::milliseconds delay_ {};
+        int repliesToLose_ = 0;
+    };
+
+    struct KeyCall
+    {
+        std::string key_;
+        std::int64_t knownVersion_ = 0;
+        std::chrono::milliseconds wait_ {};
+    };
+
+    using Lock = std::unique_lock<std::mutex>;
+
+    auto handle(const HttpRequest &request) -> HttpAnswer;
+    auto handleStore(const HttpRequest &request) -> HttpAnswer;
+    auto handleControl(const HttpRequest &request) -> HttpAnswer;
+    auto readKey(Lock &lock, const KeyCall &call) -> HttpAnswer;
+    auto writeKey(const std::string &key, const HttpRequest &request) -> HttpAnswer;
+    auto handleLease(const std::string &rest, const HttpRequest &request) -> HttpAnswer;
+    auto hostList() -> HttpAnswer;
+    auto setHosts(const std::string &text) -> HttpAnswer;
+    auto counts() -> HttpAnswer;
+    auto dump() -> HttpAnswer;
+    auto removeExpired(Clock::time_point now) -> void;
+    auto removeLease(const std::string &id) -> void;
+    auto nextExpiry(Clock::time_point limit) -> Clock::time_point;
+    auto admit(CallLimit &limit) -> bool;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    Data data_;
+    Data snapshot_;
+    Faults faults_;
+    CallLimit readLimit_;
+    CallLimit writeLimit_;
+    std::map<std::string, std::int64_t> counts_;
+    std::int64_t waitingWatches_ = 0;
+    std::int64_t lastLease_ = 0;
+    std::int64_t hostSequence_ = 0;
+    std::string hostsJson_ = "[]";
+    std::deque<HostListChange> pendingHosts_;
+    bool stopping_ = false;
+    HttpServer server_;
+};
+
+}
