--- a/libraries/peer.thrift
+++ b/libraries/peer.thrift
@@ -34,6 +34,8 @@
     /** Sequence number of the platform's host list this host knows, and the backend servers leaving in it. */
     11: i64 hostListSequence;
     12: list<string> leavingBackends;
+    /** IP address and port of this host for other daemons, so that a host that has no configuration yet can fetch one. */
+    13: string peerAddress;
 }
 
 /** A configuration revision: the head record and its chunks, each as stored. */
--- a/libraries/process/knowledge.h
+++ b/libraries/process/knowledge.h
@@ -28,10 +28,45 @@
 /** Name of a knowledge state for log lines and status answers. */
 [[nodiscard]] auto knowledgeStateName(KnowledgeState state) -> const char *;
 
+/** What one host said about the store, and how long ago it was heard. */
+struct StoreReport
+{
+    std::string zone_;
+    bool storeReachable_ = false;
+    absl::Duration age_;
+};
+
+/** Everything the knowledge state depends on. */
+struct KnowledgeFacts
+{
+    /** Age of the newest known store state. */
+    absl::Duration age_ = absl::InfiniteDuration();
+    absl::Duration freshness_;
+    /** Zones that hold the store. */
+    std::vector<std::string> storeZones_;
+    /** All zones with a declared entry host, each once. */
+    std::vector<std::string> zones_;
+    /** Reports of other hosts and of this host. */
+    std::vector<StoreReport> reports_;
+};
+
+/** Decides the state. A host without store zones in its configuration never takes the store to be down, since it can't tell that from a partition. */
+[[nodiscard]] auto decideKnowledge(const KnowledgeFacts &facts) -> KnowledgeState;
+
+/** The zones that have a declared entry host, sorted. More than half of them confirm a withdrawal. */
+[[nodiscard]] auto zonesWithHosts(const Configuration &configuration) -> std::vector<std::string>;
+
+/** How recently a host must have been answered by the store to report it as reachable. Half the freshness bound, so that every report has
+ * turned before the first host's knowledge becomes stale. */
+[[nodiscard]] auto reachableBound(absl::Duration freshness) -> absl::Duration;
+
 /** Tracks knowledge age and pending withdrawals. Thread-safe. Times are monotonic. */
 class Knowledge
 {
 public:
+    /** Zone of this host, whose own report counts for it; empty when it is not to count. */
+    explicit Knowledge(std::string zone = {});
+
     /** The store answered a request that was sent at the given time; the head it holds is in force here. */
     auto storeAnswered(absl::Time sentAt) -> void;
 
@@ -45,11 +80,14 @@
     [[nodiscard]] auto ageAt(absl::Time now) const -> absl::Duration;
 
     /** Whether the store itself answered this host within the bound. */
-    [[nodiscard]] auto storeReachable(absl::Time now, absl::Duration freshness) const -> bool;
+    [[nodiscard]] auto storeReachable(absl::Time now, absl::Duration bound) const -> bool;
 
     /** Records withdrawals that the configuration may not show yet. */
     auto addWithdrawals(const std::vector<peer::Withdrawal> &withdrawals) -> void;
 
+    /** Forgets the withdrawals of keys that the configuration no longer holds as active. */
+    auto removeShownWithdrawals(const Configuration &configuration) -> void;
+
     /** All withdrawals recorded. */
     [[nodiscard]] auto withdrawals() const -> std::vector<peer::Withdrawal>;
 
@@ -64,11 +102,13 @@
         absl::Time heardAt_;
     };
 
+    std::string zone_;
     mutable absl::Mutex mutex_;
     /** The newest time at which the state of the store is known. */
     absl::Time knownAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
     absl::Time storeAnsweredAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
     absl::flat_hash_map<std::string, PeerReport> reports_ ABSL_GUARDED_BY(mutex_);
+    /** Key identifier by key digest. */
     absl::flat_hash_map<std::string, std::string> withdrawnDigests_ ABSL_GUARDED_BY(mutex_);
 };
 
