Exchange state with peers from a fixed number of threads

Each peer is exchanged with every 500 ms, and at most three threads of ten may be busy with peers whose last exchange failed, so that frozen hosts delay no other. Above 32 peers the interval grows so that the rate of exchanges stays that of 32 peers; the liveness bound grows with it.

A connection to a peer that failed or timed out is closed and never pooled, since its late reply would be read as the reply of the next call.

--- /dev/null
+++ b/libraries/connection/peerclients.cpp
@@ -0,0 +1,189 @@
+#include "connection/peerclients.h"
+
+#include "core/clock.h"
+#include "core/socketaddress.h"
+#include "generated/Peer.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+#include <thrift/TOutput.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TSocket;
+
+/** Idle connections kept to one peer. Exchanges and loans rarely overlap more than this. */
+constexpr auto maximumIdleConnections = std::size_t { 8 };
+
+/** Age at which an idle connection is closed. Peers close theirs after a longer time, so that a call doesn't meet a connection just closed. */
+constexpr auto maximumIdleTime = absl::Seconds(10);
+
+/** A framed Thrift connection. */
+struct Connection
+{
+    std::shared_ptr<TSocket> socket_;
+    std::unique_ptr<peer::PeerClient> client_;
+    absl::Time idleSince_ = absl::InfinitePast();
+};
+
+auto silenceThriftOutput() -> void
+{
+    // Thrift prints each failed connection itself; every failure is returned as an error here and logged by the caller.
+    static const auto once = [] {
+        apache::thrift::GlobalOutput.setOutputFunction([](const char *) {});
+        return true;
+    }();
+    static_cast<void>(once);
+}
+
+auto toMilliseconds(absl::Duration timeout) -> int
+{
+    return static_cast<int>(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(timeout)));
+}
+
+auto setTimeouts(TSocket &socket, absl::Duration timeout) -> void
+{
+    const auto milliseconds = toMilliseconds(timeout);
+    socket.setConnTimeout(milliseconds);
+    socket.setSendTimeout(milliseconds);
+    socket.setRecvTimeout(milliseconds);
+}
+
+auto openConnection(const SocketAddress &address, absl::Duration timeout) -> Connection
+{
+    auto connection = Connection {};
+    connection.socket_ = std::make_shared<TSocket>(address.ip_, address.port_);
+    connection.socket_->setNoDelay(true);
+    setTimeouts(*connection.socket_, timeout);
+    const auto framed = std::make_shared<TFramedTransport>(connection.socket_);
+    connection.client_ = std::make_unique<peer::PeerClient>(std::make_shared<TBinaryProtocol>(framed));
+    framed->open();
+    return connection;
+}
+
+}
+
+/** Idle connections by peer address. */
+struct PeerClients::Connections
+{
+    auto take(const std::string &address, absl::Time now) -> std::optional<Connection>
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        auto &idle = idle_[address];
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back());
+            idle.pop_back();
+            if (now - connection.idleSince_ <= maximumIdleTime) {
+                return connection;
+            }
+        }
+        return std::nullopt;
+    }
+
+    auto put(const std::string &address, Connection connection, absl::Time now) -> void
+    {
+        connection.idleSince_ = now;
+        const auto lock = absl::MutexLock(&mutex_);
+        auto &idle = idle_[address];
+        if (idle.size() < maximumIdleConnections) {
+            idle.push_back(std::move(connection));
+        }
+    }
+
+    /** Runs one call on a pooled or new connection, which returns to the pool only after success. */
+    template<typename Reply, typename Call>
+    auto run(const char *step, const std::string &address, absl::Duration timeout, Call call) -> Result<Reply>
+    {
+        silenceThriftOutput();
+        const auto parsed = parseSocketAddress(address);
+        if (!parsed) {
+            return makeError(step, address, "is not an IP address with a port");
+        }
+        try {
+            auto pooled = take(address, monotonicNow());
+            auto connection = pooled ? std::move(*pooled) : openConnection(*parsed, timeout);
+            setTimeouts(*connection.socket_, timeout);
+            auto reply = Reply {};
+            call(*connection.client_, reply);
+            put(address, std::move(connection), monotonicNow());
+            return reply;
+        } catch (const std::exception &exception) {
+            return makeError(step, address, exception.what());
+        }
+    }
+
+    absl::Mutex mutex_;
+    absl::flat_hash_map<std::string, std::vector<Connection>> idle_ ABSL_GUARDED_BY(mutex_);
+};
+
+PeerClients::PeerClients()
+    : connections_(std::make_unique<Connections>())
+{
+}
+
+PeerClients::~PeerClients() = default;
+
+auto PeerClients::exchange(const std::string &address, const peer::HostState &state, absl::Duration timeout) -> Result<peer::HostState>
+{
+    return connections_->run<peer::HostState>("exchange state with peer", address, timeout, [&](peer::PeerClient &client, peer::HostState &reply) {
+        client.exchange(reply, state);
+    });
+}
+
+auto PeerClients::fetchBundle(const std::string &address, std::int64_t revision, absl::Duration timeout) -> Result<peer::ConfigurationBundle>
+{
+    const auto call = [&](peer::PeerClient &client, peer::ConfigurationBundle &reply) {
+        client.fetchBundle(reply, revision);
+    };
+    return connections_->run<peer::ConfigurationBundle>("fetch configuration from peer", address, timeout, call);
+}
+
+auto PeerClients::borrowRate(const std::string &address,
+                             const std::string &borrower,
+                             std::int64_t revision,
+                             const std::string &limit,
+                             double rate,
+                             double burst,
+                             absl::Duration timeout) -> Result<peer::RateLoan>
+{
+    return connections_->run<peer::RateLoan>("borrow rate from peer", address, timeout, [&](peer::PeerClient &client, peer::RateLoan &reply) {
+        client.borrowRate(reply, borrower, revision, limit, rate, burst);
+    });
+}
+
+auto PeerClients::borrowSlots(const std::string &address,
+                              const std::string &borrower,
+                              std::int64_t revision,
+                              const std::string &pool,
+                              int count,
+                              absl::Duration timeout) -> Result<peer::SlotLoan>
+{
+    return connections_->run<peer::SlotLoan>("borrow slots from peer", address, timeout, [&](peer::PeerClient &client, peer::SlotLoan &reply) {
+        client.borrowSlots(reply, borrower, revision, pool, count);
+    });
+}
+
+auto PeerClients::forward(const std::string &address, const peer::ForwardedRequest &request, absl::Duration timeout) -> Result<peer::ForwardedAnswer>
+{
+    const auto call = [&](peer::PeerClient &client, peer::ForwardedAnswer &reply) {
+        client.forward(reply, request);
+    };
+    return connections_->run<peer::ForwardedAnswer>("forward request to peer", address, timeout, call);
+}
+
+}
--- /dev/null
+++ b/libraries/process/membership.cpp
@@ -0,0 +1,184 @@
+#include "process/membership.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** Intervals without a sign of life after which a peer of a large fleet is taken to be gone. */
+constexpr auto missedIntervals = 4;
+
+}
+
+auto isLive(absl::Time heardAt, absl::Time now, std::size_t peers) -> bool
+{
+    return now - heardAt <= std::max(livenessTimeout, missedIntervals * exchangeIntervalFor(peers));
+}
+
+Membership::Membership(MembershipServices services)
+    : services_(std::move(services))
+{
+}
+
+Membership::~Membership()
+{
+    stop();
+}
+
+auto Membership::start() -> void
+{
+    for (auto index = 0; index < exchangeThreads; ++index) {
+        threads_.emplace_back([this] {
+            run();
+        });
+    }
+}
+
+auto Membership::stop() -> void
+{
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        stopping_ = true;
+        changed_.SignalAll();
+    }
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+auto Membership::setHosts(absl::Time now, const std::vector<EntryHost> &hosts) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    auto names = std::vector<std::string> {};
+    auto next = std::map<std::string, PeerView> {};
+    for (const auto &host : hosts) {
+        if (host.name_ == services_.hostName_) {
+            continue;
+        }
+        auto &view = next[host.name_];
+        const auto found = views_.find(host.name_);
+        // What an earlier address said doesn't hold for the machine behind a new one.
+        if (found != views_.end() && found->second.host_ == host) {
+            view = found->second;
+        }
+        view.host_ = host;
+        names.push_back(host.name_);
+    }
+    views_ = std::move(next);
+    schedule_.setPeers(now, names);
+    changed_.SignalAll();
+}
+
+auto Membership::receive(absl::Time now, const peer::HostState &sender) -> void
+{
+    const auto declared = record(now, sender);
+    services_.heard_(PeerNews { sender, declared.empty() ? sender.peerAddress : declared, std::nullopt });
+}
+
+auto Membership::exchangeSoon(absl::Time now) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    schedule_.hurry(now, static_cast<std::uint64_t>(absl::ToUnixNanos(now)));
+    changed_.SignalAll();
+}
+
+auto Membership::ownState() const -> peer::HostState
+{
+    return services_.ownState_();
+}
+
+auto Membership::views() const -> std::vector<PeerView>
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    auto all = std::vector<PeerView> {};
+    for (const auto &[name, view] : views_) {
+        all.push_back(view);
+    }
+    return all;
+}
+
+auto Membership::liveNames(absl::Time now) const -> std::vector<std::string>
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    auto names = std::vector<std::string> {};
+    for (const auto &[name, view] : views_) {
+        if (isLive(view.heardAt_, now, views_.size())) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+auto Membership::counts() const -> ExchangeCounts
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return counts_;
+}
+
+auto Membership::run() -> void
+{
+    while (const auto peer = waitForPeer()) {
+        exchangeWith(*peer);
+    }
+}
+
+auto Membership::waitForPeer() -> std::optional<PeerView>
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    while (!stopping_) {
+        const auto now = monotonicNow();
+        const auto name = schedule_.next(now);
+        if (name) {
+            return views_[*name];
+        }
+        changed_.WaitWithTimeout(&mutex_, schedule_.nextDue() - now);
+    }
+    return std::nullopt;
+}
+
+auto Membership::exchangeWith(const PeerView &peer) -> void
+{
+    const auto own = ownState();
+    const auto sentAt = monotonicNow();
+    const auto outcome = attempt([&] {
+        return services_.peers_->exchange(peer.host_.peer_, own, exchangeTimeout);
+    });
+    const auto *answer = std::get_if<peer::HostState>(&outcome);
+    // A machine that answers under another name is not this peer, for example after an address was given to another host.
+    const auto succeeded = answer != nullptr && answer->name == peer.host_.name_;
+    if (succeeded) {
+        record(sentAt, *answer);
+        services_.heard_(PeerNews { *answer, peer.host_.peer_, sentAt });
+    }
+    const auto lock = absl::MutexLock(&mutex_);
+    ++(succeeded ? counts_.succeeded_ : counts_.failed_);
+    schedule_.finish(monotonicNow(), peer.host_.name_, succeeded);
+    changed_.Signal();
+}
+
+auto Membership::record(absl::Time heardAt, const peer::HostState &state) -> std::string
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    const auto found = views_.find(state.name);
+    if (found == views_.end()) {
+        return {};
+    }
+    auto &view = found->second;
+    if (heardAt >= view.heardAt_) {
+        view.state_ = state;
+        view.heardAt_ = heardAt;
+    }
+    return view.host_.peer_;
+}
+
+}
--- /dev/null
+++ b/libraries/process/membershiptest.cpp
@@ -0,0 +1,165 @@
+#include "process/membership.h"
+
+#include "core/clock.h"
+#include "process/peerserver.h"
+
+#include <absl/time/clock.h>
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+constexpr auto ownAddress = "127.0.6.1:19061";
+
+auto addressOf(int index) -> std::string
+{
+    return "127.0.6." + std::to_string(10 + index) + ":19062";
+}
+
+/** A peer that answers with its name, and waits first when it is frozen. */
+class StubPeer : public peer::PeerNull
+{
+public:
+    StubPeer(std::string name, absl::Duration delay)
+        : name_(std::move(name))
+        , delay_(delay)
+    {
+    }
+
+    auto exchange(peer::HostState &reply, const peer::HostState &) -> void override
+    {
+        ++calls_;
+        absl::SleepFor(delay_);
+        reply.name = name_;
+        reply.run = "run-of-" + name_;
+    }
+
+    std::atomic<int> calls_ = 0;
+
+private:
+    std::string name_;
+    absl::Duration delay_;
+};
+
+/** Stub peers with their servers. */
+struct Fleet
+{
+    std::vector<std::shared_ptr<StubPeer>> peers_;
+    std::vector<std::unique_ptr<PeerServer>> servers_;
+    std::vector<EntryHost> hosts_;
+};
+
+auto startFleet(int count, int frozen) -> Fleet
+{
+    auto fleet = Fleet {};
+    for (auto index = 0; index < count; ++index) {
+        const auto name = "peer-" + std::to_string(index);
+        fleet.peers_.push_back(std::make_shared<StubPeer>(name, index < frozen ? absl::Seconds(3) : absl::ZeroDuration()));
+        fleet.servers_.push_back(std::make_unique<PeerServer>(addressOf(index), fleet.peers_.back()));
+        REQUIRE(fleet.servers_.back()->start());
+        fleet.hosts_.push_back(EntryHost { name, "zone", "127.0.6.1:1", addressOf(index) });
+    }
+    return fleet;
+}
+
+auto stateNamed(const std::string &name) -> peer::HostState
+{
+    auto state = peer::HostState {};
+    state.name = name;
+    return state;
+}
+
+}
+
+// Guards against a host that counts as live for ever, or is dropped between two regular exchanges.
+TEST_CASE("a peer is live until it has been silent for the timeout")
+{
+    const auto now = absl::UnixEpoch();
+    CHECK(isLive(now - absl::Seconds(2), now, 17));
+    CHECK_FALSE(isLive(now - absl::Milliseconds(2001), now, 17));
+    CHECK_FALSE(isLive(absl::InfinitePast(), now, 17));
+    CHECK(isLive(now - absl::Seconds(4), now, 64));
+}
+
+// Guards against one frozen host that delays the exchanges of all others.
+TEST_CASE("frozen peers delay no other")
+{
+    const auto frozen = 6;
+    const auto count = 12;
+    auto fleet = startFleet(count, frozen);
+    auto clients = PeerClients();
+    auto membership = Membership(MembershipServices { "own",
+                                                      &clients,
+                                                      [] {
+                                                          return stateNamed("own");
+                                                      },
+                                                      [](const PeerNews &) {} });
+    membership.setHosts(monotonicNow(), fleet.hosts_);
+    membership.start();
+    absl::SleepFor(absl::Seconds(2));
+    auto callsBefore = std::vector<int> {};
+    for (const auto &peer : fleet.peers_) {
+        callsBefore.push_back(peer->calls_);
+    }
+    absl::SleepFor(absl::Seconds(3));
+    for (auto index = frozen; index < count; ++index) {
+        CAPTURE(index);
+        // Six exchanges fit into three seconds; three of them keep a peer live.
+        CHECK(fleet.peers_[index]->calls_ - callsBefore[index] >= 3);
+    }
+    const auto live = membership.liveNames(monotonicNow());
+    CHECK(live.size() == count - frozen);
+    CHECK(std::find(live.begin(), live.end(), "peer-0") == live.end());
+    membership.stop();
+}
+
+TEST_CASE("what a peer sends is recorded and passed on with its declared address")
+{
+    auto clients = PeerClients();
+    auto news = std::vector<PeerNews> {};
+    auto membership = Membership(MembershipServices { "own",
+                                                      &clients,
+                                                      [] {
+                                                          return stateNamed("own");
+                                                      },
+                                                      [&](const PeerNews &heard) {
+                                                          news.push_back(heard);
+                                                      } });
+    const auto now = monotonicNow();
+    membership.setHosts(now, { EntryHost { "own", "zone", "", ownAddress }, EntryHost { "peer", "zone", "", addressOf(1) } });
+    auto state = stateNamed("peer");
+    state.run = "r1";
+    state.peerAddress = "127.0.6.99:1";
+    membership.receive(now, state);
+    state.name = "stranger";
+    membership.receive(now, state);
+    REQUIRE(news.size() == 2);
+    CHECK(news[0].address_ == addressOf(1));
+    CHECK(news[1].address_ == "127.0.6.99:1");
+    REQUIRE(membership.views().size() == 1);
+    CHECK(membership.views()[0].state_.run == "r1");
+    CHECK(membership.liveNames(now) == std::vector<std::string> { "peer" });
+}
+
+// Guards against the run of an earlier machine that is kept for a host that was given a new address.
+TEST_CASE("a host with a new address has to be heard again")
+{
+    auto clients = PeerClients();
+    auto membership = Membership(MembershipServices { "own",
+                                                      &clients,
+                                                      [] {
+                                                          return stateNamed("own");
+                                                      },
+                                                      [](const PeerNews &) {} });
+    const auto now = monotonicNow();
+    membership.setHosts(now, { EntryHost { "peer", "zone", "", addressOf(1) } });
+    membership.receive(now, stateNamed("peer"));
+    membership.setHosts(now, { EntryHost { "peer", "zone", "", addressOf(2) } });
+    CHECK(membership.liveNames(now).empty());
+}
--- /dev/null
+++ b/libraries/process/peerserver.cpp
@@ -0,0 +1,129 @@
+#include "process/peerserver.h"
+
+#include "core/socketaddress.h"
+
+#include <absl/time/time.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+using apache::thrift::protocol::TBinaryProtocolFactory;
+using apache::thrift::server::TServerEventHandler;
+using apache::thrift::server::TThreadedServer;
+using apache::thrift::transport::TFramedTransportFactory;
+using apache::thrift::transport::TServerSocket;
+
+/** A connection without a call for this long is closed. Longer than the time peers keep idle connections. */
+constexpr auto idleTimeout = absl::Seconds(30);
+
+/** A peer that doesn't read its reply for this long is disconnected. */
+constexpr auto sendTimeout = absl::Seconds(5);
+
+/** Tells the starter that the server listens. */
+class ListeningSignal : public TServerEventHandler
+{
+public:
+    explicit ListeningSignal(std::promise<std::string> &listening)
+        : listening_(listening)
+    {
+    }
+
+    auto preServe() -> void override
+    {
+        listening_.set_value("");
+    }
+
+private:
+    std::promise<std::string> &listening_;
+};
+
+auto makeServerSocket(const SocketAddress &address) -> std::shared_ptr<TServerSocket>
+{
+    auto socket = std::make_shared<TServerSocket>(address.ip_, address.port_);
+    socket->setRecvTimeout(static_cast<int>(absl::ToInt64Milliseconds(idleTimeout)));
+    socket->setSendTimeout(static_cast<int>(absl::ToInt64Milliseconds(sendTimeout)));
+    socket->setAcceptCallback([](int descriptor) {
+        const auto enabled = 1;
+        setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    });
+    return socket;
+}
+
+}
+
+struct PeerServer::State
+{
+    std::shared_ptr<peer::PeerIf> handler_;
+    std::unique_ptr<TThreadedServer> server_;
+    std::thread thread_;
+    std::promise<std::string> listening_;
+
+    auto serve() -> void
+    {
+        try {
+            server_->serve();
+        } catch (const std::exception &exception) {
+            listening_.set_value(exception.what());
+        }
+    }
+};
+
+PeerServer::PeerServer(std::string address, std::shared_ptr<peer::PeerIf> handler)
+    : address_(std::move(address))
+    , state_(std::make_unique<State>())
+{
+    state_->handler_ = std::move(handler);
+}
+
+PeerServer::~PeerServer()
+{
+    stop();
+}
+
+auto PeerServer::start() -> Result<void>
+{
+    const auto address = parseSocketAddress(address_);
+    if (!address) {
+        return makeError("listen for peers", address_, "is not an IP address with a port");
+    }
+    state_->server_ = std::make_unique<TThreadedServer>(std::make_shared<peer::PeerProcessor>(state_->handler_),
+                                                        makeServerSocket(*address),
+                                                        std::make_shared<TFramedTransportFactory>(),
+                                                        std::make_shared<TBinaryProtocolFactory>());
+    state_->server_->setServerEventHandler(std::make_shared<ListeningSignal>(state_->listening_));
+    state_->thread_ = std::thread([this] {
+        state_->serve();
+    });
+    const auto failure = state_->listening_.get_future().get();
+    if (!failure.empty()) {
+        state_->thread_.join();
+        return makeError("listen for peers", address_, failure);
+    }
+    return {};
+}
+
+auto PeerServer::stop() -> void
+{
+    if (!state_->thread_.joinable()) {
+        return;
+    }
+    state_->server_->stop();
+    state_->thread_.join();
+}
+
+}
