Add rate shares, slot shares, loans and their keeper

Cause: limits and slots are counted over all hosts together, and a host has to decide without asking anyone as long as its own share lasts.

Change: sharetable splits each limit and each backend server's slots over the declared hosts; sharebucket and slotshare decide takes, loans and changes of a share as pure functions of the time; fairqueue orders waiting requests by start-time fair queueing; ratekeeper and slotkeeper hold them under one lock for each limit and pool and borrow from peers without holding a lock. ShareKeeper is their facade.

Decisions: the first configuration of a run counts as a growth, so a restarted host waits freshness (slots: freshness and the longest deadline) and the margin; loans are accepted and used only under the revision or the unchanged split they were made for. A slot loan lasts the loan setting plus the longest deadline of a route to the pool, so that a request on a borrowed slot keeps its whole deadline.

--- /dev/null
+++ b/libraries/process/ratekeeper.cpp
@@ -0,0 +1,276 @@
+#include "process/ratekeeper.h"
+
+#include "core/clock.h"
+#include "core/log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto firstBackoff = absl::Milliseconds(50);
+constexpr auto longestBackoff = absl::Seconds(1);
+
+/** How long a peer that had nothing to lend is left out. */
+constexpr auto avoidRefused = absl::Milliseconds(500);
+
+/** How long a peer that did not answer is left out. */
+constexpr auto avoidSilent = absl::Seconds(2);
+
+/** Most peers that one round asks. */
+constexpr auto peersPerRound = std::size_t { 3 };
+
+auto shareOf(const std::vector<HostShare> &split, const std::string &host) -> RateShare
+{
+    for (const auto &part : split) {
+        if (part.host_ == host) {
+            return part.share_;
+        }
+    }
+    return {};
+}
+
+auto ownersOf(const std::vector<HostShare> &split) -> std::vector<std::string>
+{
+    auto owners = std::vector<std::string> {};
+    for (const auto &part : split) {
+        if (part.share_.burst_ > 0) {
+            owners.push_back(part.host_);
+        }
+    }
+    return owners;
+}
+
+}
+
+auto organisationLimit(const std::string &organisation) -> std::string
+{
+    return "organisation/" + organisation;
+}
+
+auto shiftLimit(const std::string &shift) -> std::string
+{
+    return "shift/" + shift;
+}
+
+RateKeeper::RateKeeper(std::string hostName, PeerLending lending)
+    : hostName_(std::move(hostName))
+    , lending_(std::move(lending))
+{
+}
+
+auto RateKeeper::latest(absl::Time now) const -> absl::Time
+{
+    return std::max(now, lending_.clock_());
+}
+
+auto RateKeeper::find(const std::string &limit) const -> Limit *
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    const auto found = limits_.find(limit);
+    return found == limits_.end() ? nullptr : found->second.get();
+}
+
+auto RateKeeper::findOrAdd(const std::string &limit) -> Limit &
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    auto &entry = limits_[limit];
+    if (entry == nullptr) {
+        entry = std::make_unique<Limit>();
+    }
+    return *entry;
+}
+
+auto RateKeeper::configure(absl::Time now, const ConfigurationPointer &configuration) -> void
+{
+    auto known = std::set<std::string> {};
+    auto growthWait = absl::Duration {};
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        const auto freshness = std::max(platform_.freshness_, configuration->platform_.freshness_);
+        const auto loan = std::max(platform_.loan_, configuration->platform_.loan_);
+        growthWait = withMargin(std::max(freshness, loan));
+        platform_ = configuration->platform_;
+        for (const auto &entry : limits_) {
+            known.insert(entry.first);
+        }
+    }
+    for (const auto &organisation : configuration->organisations_) {
+        const auto name = organisationLimit(organisation.name_);
+        configureLimit(now, *configuration, growthWait, name, organisationShares(*configuration, organisation));
+        known.erase(name);
+    }
+    for (const auto &shift : configuration->shifts_) {
+        const auto name = shiftLimit(shift.name_);
+        configureLimit(now, *configuration, growthWait, name, shiftShares(*configuration, shift));
+        known.erase(name);
+    }
+    for (const auto &removed : known) {
+        configureLimit(now, *configuration, growthWait, removed, {});
+    }
+}
+
+auto RateKeeper::configureLimit(absl::Time now,
+                                const Configuration &configuration,
+                                absl::Duration growthWait,
+                                const std::string &name,
+                                std::vector<HostShare> split) -> void
+{
+    auto lenders = orderLenders(configuration, hostName_, ownersOf(split));
+    auto &limit = findOrAdd(name);
+    const auto lock = absl::MutexLock(&limit.mutex_);
+    if (configuration.revision_ < limit.revision_) {
+        return;
+    }
+    const auto time = latest(now);
+    if (limit.split_ != split) {
+        // A lender may already have given this share up, and its new owner does not know of the loan.
+        dropTaken(limit.bucket_, time);
+    }
+    setShare(limit.bucket_, time, shareOf(split, hostName_), time + growthWait);
+    limit.revision_ = configuration.revision_;
+    limit.split_ = std::move(split);
+    limit.lenders_ = std::move(lenders);
+    limit.loan_ = configuration.platform_.loan_;
+}
+
+auto RateKeeper::takeToken(absl::Time now, const std::string &name) -> bool
+{
+    auto *limit = find(name);
+    if (limit == nullptr) {
+        return false;
+    }
+    {
+        const auto lock = absl::MutexLock(&limit->mutex_);
+        const auto time = latest(now);
+        noteDemand(limit->bucket_, time);
+        if (take(limit->bucket_, time)) {
+            return true;
+        }
+    }
+    return borrowAndTake(*limit, name, now);
+}
+
+auto RateKeeper::borrowAndTake(Limit &limit, const std::string &name, absl::Time now) -> bool
+{
+    auto round = Round {};
+    {
+        const auto lock = absl::MutexLock(&limit.mutex_);
+        if (limit.isBorrowing_) {
+            limit.borrowEnded_.WaitWithTimeout(&limit.mutex_, borrowRoundBudget);
+            return take(limit.bucket_, latest(now));
+        }
+        round = planRound(limit, latest(now));
+        if (round.lenders_.empty()) {
+            return false;
+        }
+        limit.isBorrowing_ = true;
+    }
+    const auto isLent = runRound(limit, name, round);
+    const auto lock = absl::MutexLock(&limit.mutex_);
+    limit.isBorrowing_ = false;
+    limit.backoff_ = isLent ? firstBackoff : std::clamp(limit.backoff_ * 2, firstBackoff, longestBackoff);
+    limit.nextRoundAt_ = latest(now) + limit.backoff_;
+    const auto isTaken = take(limit.bucket_, latest(now));
+    limit.borrowEnded_.SignalAll();
+    return isTaken;
+}
+
+auto RateKeeper::planRound(Limit &limit, absl::Time now) const -> Round
+{
+    limit.mutex_.AssertHeld();
+    auto round = Round { {}, limit.revision_, wantedLoan(limit.bucket_, now), limit.loan_, now + borrowRoundBudget };
+    if (now < limit.nextRoundAt_) {
+        return round;
+    }
+    std::erase_if(limit.avoidUntil_, [&](const auto &entry) {
+        return entry.second <= now;
+    });
+    for (const auto &lender : limit.lenders_) {
+        if (limit.avoidUntil_.count(lender.host_.name_) == 0) {
+            round.lenders_.push_back(lender);
+        }
+    }
+    std::stable_partition(round.lenders_.begin(), round.lenders_.end(), [&](const Lender &lender) {
+        return lender.host_.name_ == limit.lastLender_;
+    });
+    round.lenders_.resize(std::min(peersPerRound, round.lenders_.size()));
+    return round;
+}
+
+auto RateKeeper::runRound(Limit &limit, const std::string &name, const Round &round) -> bool
+{
+    for (const auto &lender : round.lenders_) {
+        const auto sentAt = lending_.clock_();
+        if (sentAt >= round.endsAt_) {
+            return false;
+        }
+        const auto loan = lending_.borrowRate_(lender.host_, round.revision_, name, round.wanted_, round.endsAt_ - sentAt);
+        if (acceptLoan(limit, round, lender, sentAt, loan)) {
+            logLine(wallNow(),
+                    LogLevel::Debug,
+                    "rate borrowed",
+                    { { "limit", name },
+                      { "lender", lender.host_.name_ },
+                      { "rate", fmt::format("{}", loan->rate) },
+                      { "burst", fmt::format("{}", loan->burst) } });
+            return true;
+        }
+    }
+    return false;
+}
+
+auto RateKeeper::acceptLoan(Limit &limit, const Round &round, const Lender &lender, absl::Time sentAt, const std::optional<peer::RateLoan> &loan) -> bool
+{
+    const auto lock = absl::MutexLock(&limit.mutex_);
+    const auto now = lending_.clock_();
+    if (!loan.has_value()) {
+        limit.avoidUntil_[lender.host_.name_] = now + avoidSilent;
+        return false;
+    }
+    // A loan of an earlier revision is not used: its lender may have given the share up since.
+    if (limit.revision_ != round.revision_) {
+        return false;
+    }
+    if (loan->rate <= 0 && loan->burst <= 0) {
+        limit.avoidUntil_[lender.host_.name_] = now + avoidRefused;
+        return false;
+    }
+    borrow(limit.bucket_, now, { { loan->rate, loan->burst }, loan->tokens }, sentAt + round.loan_);
+    limit.lastLender_ = lender.host_.name_;
+    advance(limit.bucket_, now);
+    return limit.bucket_.tokens_ >= 1;
+}
+
+auto RateKeeper::lendRate(absl::Time now, std::int64_t revision, const std::string &name, const RateShare &wanted) -> LentTokens
+{
+    auto *limit = find(name);
+    if (limit == nullptr) {
+        return {};
+    }
+    const auto lock = absl::MutexLock(&limit->mutex_);
+    if (limit->revision_ != revision) {
+        return {};
+    }
+    const auto time = latest(now);
+    return lend(limit->bucket_, time, wanted, time + withMargin(limit->loan_));
+}
+
+auto RateKeeper::bucketOf(const std::string &name) const -> ShareBucket
+{
+    const auto *limit = find(name);
+    if (limit == nullptr) {
+        return {};
+    }
+    const auto lock = absl::MutexLock(&limit->mutex_);
+    return limit->bucket_;
+}
+
+}
--- a/libraries/process/sharekeeper.h
+++ b/libraries/process/sharekeeper.h
@@ -3,6 +3,10 @@
 
 #include "connection/peerclients.h"
 #include "generated/peer_types.h"
+#include "process/peerlending.h"
+#include "process/ratekeeper.h"
+#include "process/slotgrant.h"
+#include "process/slotkeeper.h"
 #include "version/configuration.h"
 
 #include <absl/time/time.h>
@@ -14,50 +18,26 @@
 namespace lycheecleat
 {
 
-/** Permission to run one request on one backend server until a deadline. */
-struct SlotGrant
-{
-    std::string pool_;
-    BackendServer backend_;
-    /** Monotonic time after which the backend server must have stopped the request. */
-    absl::Time deadline_;
-    /** Identifies the grant to the ShareKeeper that gave it. */
-    std::uint64_t id_ = 0;
-};
-
-/** Which backend servers of a pool may be chosen for a request. */
-struct SlotRequest
-{
-    std::string pool_;
-    std::string organisation_;
-    /** Region to take a slot in; empty: own zone, then own region, then other regions. */
-    std::string region_;
-    /** Backend servers to leave out: drained, leaving, ejected, or already tried. */
-    std::vector<std::string> excludedBackends_;
-    /** Monotonic time by which the request must be done. */
-    absl::Time deadline_;
-    /** Longest wait for a slot. */
-    absl::Time waitUntil_;
-};
-
-/** Limit name of an organisation's rate. */
-[[nodiscard]] auto organisationLimit(const std::string &organisation) -> std::string;
-
-/** Limit name of a shift's cap. */
-[[nodiscard]] auto shiftLimit(const std::string &shift) -> std::string;
-
-/** Keeps shares in shards, each under its own lock, and borrows from peers when a share runs out. Thread-safe. Times are monotonic. */
+/**
+ * Keeps shares in shards, each under its own lock, and borrows from peers when a share runs out. Thread-safe. Times are monotonic.
+ *
+ * The first configuration of a run counts as a growth from nothing, so a restarted host outwaits the loans and requests of its earlier
+ * run, and the hosts that do not know of a change of shares yet. Until then it admits what it can borrow.
+ */
 class ShareKeeper
 {
 public:
     /** The host's declared name, the time at which the process started, and the means to call peers. */
-    ShareKeeper(std::string hostName, absl::Time startedAt, PeerClients *peers);
+    ShareKeeper(const std::string &hostName, absl::Time startedAt, PeerClients *peers);
+
+    /** For tests: the clock and the calls to peers as functions. */
+    ShareKeeper(std::string hostName, PeerLending lending);
     ~ShareKeeper();
     ShareKeeper(const ShareKeeper &) = delete;
     auto operator=(const ShareKeeper &) -> ShareKeeper & = delete;
 
     /** Takes over a configuration. Shares that shrink do so at once; shares that grow wait for the freshness bound and the margin. */
-    auto configure(absl::Time now, ConfigurationPointer configuration) -> void;
+    auto configure(absl::Time now, const ConfigurationPointer &configuration) -> void;
 
     /** Takes one token of a limit, borrowing if needed; false when the limit is used up. */
     [[nodiscard]] auto takeToken(absl::Time now, const std::string &limit) -> bool;
@@ -76,8 +56,8 @@
     [[nodiscard]] auto lendSlots(absl::Time now, const std::string &borrower, std::int64_t revision, const std::string &pool, int count) -> peer::SlotLoan;
 
 private:
-    struct State;
-    std::unique_ptr<State> state_;
+    RateKeeper rates_;
+    SlotKeeper slots_;
 };
 
 }
--- /dev/null
+++ b/libraries/process/sharekeeperpeers.cpp
@@ -0,0 +1,53 @@
+#include "core/clock.h"
+#include "process/sharekeeper.h"
+
+#include <optional>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** Gives the value of a call, or nothing when it failed. The caller only needs to know that there is no loan. */
+template<typename Value, typename Call>
+auto valueOf(Call &&call) -> std::optional<Value>
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> Result<std::optional<Value>> {
+            BOOST_LEAF_AUTO(value, call());
+            return std::optional<Value> { std::move(value) };
+        },
+        []() -> std::optional<Value> {
+            return std::nullopt;
+        });
+}
+
+auto lendingThrough(PeerClients *peers, const std::string &hostName) -> PeerLending
+{
+    auto lending = PeerLending {};
+    lending.clock_ = monotonicNow;
+    lending.borrowRate_ = [=](const EntryHost &lender, std::int64_t revision, const std::string &limit, const RateShare &wanted, absl::Duration timeout) {
+        return valueOf<peer::RateLoan>([&]() {
+            return peers->borrowRate(lender.peer_, hostName, revision, limit, wanted.rate_, wanted.burst_, timeout);
+        });
+    };
+    lending.borrowSlots_ = [=](const EntryHost &lender, std::int64_t revision, const std::string &pool, int count, absl::Duration timeout) {
+        return valueOf<peer::SlotLoan>([&]() {
+            return peers->borrowSlots(lender.peer_, hostName, revision, pool, count, timeout);
+        });
+    };
+    return lending;
+}
+
+}
+
+ShareKeeper::ShareKeeper(const std::string &hostName, absl::Time startedAt, PeerClients *peers)
+    : ShareKeeper(hostName, lendingThrough(peers, hostName))
+{
+    // The first configuration waits longer than the loans of an earlier run, whenever it comes after the start of the process.
+    (void)startedAt;
+}
+
+}
--- /dev/null
+++ b/libraries/process/sharekeepertest.cpp
@@ -0,0 +1,180 @@
+#include "process/sharekeeper.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+const auto start = absl::UnixEpoch() + absl::Hours(1);
+
+/** Time after which every share of a first configuration is in force. */
+constexpr auto settled = absl::Seconds(60);
+
+/** Keepers of all declared hosts in one process, with a shared simulated clock and calls that arrive unless a host is cut off. */
+class Fleet
+{
+public:
+    explicit Fleet(ConfigurationPointer configuration)
+        : configuration_(std::move(configuration))
+    {
+        for (const auto &host : configuration_->entryHosts_) {
+            keepers_[host.name_] = std::make_unique<ShareKeeper>(host.name_, lendingOf(host.name_));
+            keepers_[host.name_]->configure(now_, configuration_);
+        }
+        now_ += settled;
+    }
+
+    [[nodiscard]] auto keeper(const std::string &name) -> ShareKeeper &
+    {
+        return *keepers_.at(name);
+    }
+
+    absl::Time now_ = start;
+    std::set<std::string> cutOff_;
+    int calls_ = 0;
+
+private:
+    auto lendingOf(const std::string &borrower) -> PeerLending
+    {
+        auto lending = PeerLending {};
+        lending.clock_ = [this]() {
+            return now_;
+        };
+        lending.borrowRate_ = [this,
+                               borrower](const EntryHost &lender, std::int64_t revision, const std::string &limit, const RateShare &wanted, absl::Duration) {
+            ++calls_;
+            return cutOff_.count(lender.name_) > 0 ? std::optional<peer::RateLoan> {}
+                                                   : keeper(lender.name_).lendRate(now_, borrower, revision, limit, wanted.rate_, wanted.burst_);
+        };
+        lending.borrowSlots_ = [this, borrower](const EntryHost &lender, std::int64_t revision, const std::string &pool, int count, absl::Duration) {
+            ++calls_;
+            return cutOff_.count(lender.name_) > 0 ? std::optional<peer::SlotLoan> {} : keeper(lender.name_).lendSlots(now_, borrower, revision, pool, count);
+        };
+        return lending;
+    }
+
+    ConfigurationPointer configuration_;
+    std::map<std::string, std::unique_ptr<ShareKeeper>> keepers_;
+};
+
+/** Two regions of two zones with a host each; pool "dive-log" has one backend server of three slots in each zone. */
+auto makeConfiguration() -> std::shared_ptr<Configuration>
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->revision_ = 7;
+    auto pool = Pool { "dive-log", 3, {}, absl::ZeroDuration() };
+    for (const auto *name : { "gisenyi", "kibuye" }) {
+        const auto region = std::string(name);
+        configuration->regions_.push_back({ region, { region + "-a", region + "-b" } });
+        for (const auto *suffix : { "-a", "-b" }) {
+            configuration->entryHosts_.push_back({ "host-" + region + suffix, region + suffix, "", "" });
+            pool.backends_.push_back({ "backend-" + region + suffix, region + suffix, "" });
+        }
+    }
+    configuration->pools_.push_back(pool);
+    configuration->organisations_.push_back({ "hull", 40, 20, 1 });
+    return configuration;
+}
+
+auto slotRequest(absl::Time now, const std::string &region = {}) -> SlotRequest
+{
+    return { "dive-log", "hull", region, {}, now + absl::Seconds(2), now };
+}
+
+}
+
+// Guards against refusals although other hosts have tokens, and against more tokens than the limit.
+TEST_CASE("a host reaches the whole limit by borrowing, and no more")
+{
+    auto fleet = Fleet(makeConfiguration());
+    const auto limit = organisationLimit("hull");
+    auto admitted = 0;
+    for (auto step = 0; step < 1000; ++step) {
+        fleet.now_ += absl::Milliseconds(10);
+        admitted += fleet.keeper("host-gisenyi-a").takeToken(fleet.now_, limit) ? 1 : 0;
+    }
+    // 10 s at 40/s. Loans end with the margin of the lender idle, which costs some of the rate.
+    CHECK(admitted >= 300);
+    CHECK(admitted <= 40 * 10 + 20);
+    CHECK_FALSE(fleet.keeper("host-gisenyi-a").takeToken(fleet.now_, "organisation/absent"));
+}
+
+// Guards against a flood of borrow calls while a limit is used up everywhere.
+TEST_CASE("borrow calls are bounded while nobody can lend")
+{
+    auto fleet = Fleet(makeConfiguration());
+    const auto limit = organisationLimit("hull");
+    fleet.cutOff_ = { "host-gisenyi-a", "host-gisenyi-b", "host-kibuye-a", "host-kibuye-b" };
+    auto admitted = 0;
+    for (auto step = 0; step < 10000; ++step) {
+        fleet.now_ += absl::Milliseconds(1);
+        admitted += fleet.keeper("host-gisenyi-a").takeToken(fleet.now_, limit) ? 1 : 0;
+    }
+    CHECK(admitted <= 10 * 10 + 5);
+    CHECK(admitted >= 100);
+    CHECK(fleet.calls_ <= 30);
+}
+
+// Guards against a loan given to a host with another revision, whose shares may overlap.
+TEST_CASE("nothing is lent across revisions")
+{
+    auto fleet = Fleet(makeConfiguration());
+    auto &lender = fleet.keeper("host-gisenyi-a");
+    CHECK(lender.lendRate(fleet.now_, "host-kibuye-a", 6, organisationLimit("hull"), 1, 1).burst == 0);
+    CHECK(lender.lendSlots(fleet.now_, "host-kibuye-a", 8, "dive-log", 1).slots.empty());
+    CHECK(lender.lendRate(fleet.now_, "host-kibuye-a", 7, organisationLimit("hull"), 1, 1).burst == 1);
+    CHECK(lender.lendSlots(fleet.now_, "host-kibuye-a", 7, "dive-log", 1).slots.size() == 1);
+}
+
+// Guards against distant slots used while near ones are free, and against more requests than slots.
+TEST_CASE("slots are taken in the own zone, then the own region, then elsewhere")
+{
+    auto fleet = Fleet(makeConfiguration());
+    auto &keeper = fleet.keeper("host-gisenyi-a");
+    auto zones = std::vector<std::string> {};
+    auto used = std::map<std::string, int> {};
+    for (auto index = 0; index < 40; ++index) {
+        fleet.now_ += absl::Milliseconds(1);
+        const auto grant = keeper.takeSlot(fleet.now_, { "dive-log", "hull", "", {}, start + settled + absl::Seconds(2), fleet.now_ });
+        if (grant.has_value()) {
+            zones.push_back(grant->backend_.zone_);
+            ++used[grant->backend_.name_];
+        }
+    }
+    REQUIRE(zones.size() >= 9);
+    CHECK(std::vector(zones.begin(), zones.begin() + 3) == std::vector<std::string>(3, "gisenyi-a"));
+    CHECK(std::vector(zones.begin() + 3, zones.begin() + 6) == std::vector<std::string>(3, "gisenyi-b"));
+    for (const auto &[name, count] : used) {
+        CHECK(count <= 3);
+    }
+}
+
+// Guards against ignoring the region that a shift or a failover asks for, and backend servers left out by the caller.
+TEST_CASE("a slot request may name a region and leave out backend servers")
+{
+    auto fleet = Fleet(makeConfiguration());
+    auto &keeper = fleet.keeper("host-gisenyi-a");
+    const auto moved = keeper.takeSlot(fleet.now_, slotRequest(fleet.now_, "kibuye"));
+    REQUIRE(moved.has_value());
+    CHECK(moved->backend_.zone_.substr(0, 6) == "kibuye");
+    auto request = slotRequest(fleet.now_);
+    request.excludedBackends_ = { "backend-gisenyi-a" };
+    const auto other = keeper.takeSlot(fleet.now_, request);
+    REQUIRE(other.has_value());
+    CHECK(other->backend_.name_ != "backend-gisenyi-a");
+    CHECK_FALSE(keeper.takeSlot(fleet.now_, { "absent", "hull", "", {}, fleet.now_ + absl::Seconds(1), fleet.now_ }).has_value());
+}
+
+// Guards against a restarted host that uses slots and tokens its earlier run may still have in use.
+TEST_CASE("a host that has just started admits only what it borrows")
+{
+    auto fleet = Fleet(makeConfiguration());
+    fleet.now_ = start + absl::Seconds(4);
+    CHECK_FALSE(fleet.keeper("host-gisenyi-a").takeToken(fleet.now_, organisationLimit("hull")));
+    CHECK_FALSE(fleet.keeper("host-gisenyi-a").takeSlot(fleet.now_, slotRequest(fleet.now_)).has_value());
+}
--- /dev/null
+++ b/libraries/process/slotkeeper.cpp
@@ -0,0 +1,426 @@
+#include "process/slotkeeper.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+#include "request/sharebucket.h"
+#include "version/sharetable.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto firstBackoff = absl::Milliseconds(20);
+constexpr auto longestBackoff = absl::Milliseconds(500);
+
+/** How long a peer that had no free slot is left out. */
+constexpr auto avoidRefused = absl::Milliseconds(200);
+
+/** How long a peer that did not answer is left out. */
+constexpr auto avoidSilent = absl::Seconds(2);
+
+/** Most peers of one nearness that one round asks. */
+constexpr auto peersPerNearness = 2;
+
+/** Most slots to ask a peer for at once. */
+constexpr auto largestBorrow = 16;
+
+/** One more slot is asked for with this many slots in use, since demand that uses them up tends to grow on. */
+constexpr auto usesPerExtraSlot = 8;
+
+/** One free slot is kept back with this many slots in use. */
+constexpr auto usesPerKeptSlot = 4;
+
+/** Longest sleep of a waiting request. Slots that a loan's or a deadline's end frees wake nobody, so it looks again. */
+constexpr auto longestSleep = absl::Milliseconds(20);
+
+/** Deadline bound of a pool that no route uses. */
+constexpr auto defaultDeadline = absl::Seconds(2);
+
+auto longestDeadlineOf(const Configuration &configuration, const std::string &pool) -> absl::Duration
+{
+    auto longest = absl::ZeroDuration();
+    for (const auto &route : configuration.routes_) {
+        if (route.pool_ == pool) {
+            longest = std::max(longest, route.deadline_);
+        }
+    }
+    return longest > absl::ZeroDuration() ? longest : defaultDeadline;
+}
+
+auto contains(const std::vector<std::string> &names, const std::string &name) -> bool
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}
+
+SlotKeeper::SlotKeeper(std::string hostName, PeerLending lending)
+    : hostName_(std::move(hostName))
+    , seed_(stableHash(hostName_))
+    , lending_(std::move(lending))
+{
+}
+
+auto SlotKeeper::latest(absl::Time now) const -> absl::Time
+{
+    return std::max(now, lending_.clock_());
+}
+
+auto SlotKeeper::find(const std::string &pool) const -> PoolSlots *
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    const auto found = pools_.find(pool);
+    return found == pools_.end() ? nullptr : found->second.get();
+}
+
+auto SlotKeeper::findOrAdd(const std::string &pool) -> PoolSlots &
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    auto &entry = pools_[pool];
+    if (entry == nullptr) {
+        entry = std::make_unique<PoolSlots>();
+    }
+    return *entry;
+}
+
+auto SlotKeeper::configure(absl::Time now, const ConfigurationPointer &configuration) -> void
+{
+    auto removed = std::set<std::string> {};
+    auto knowledgeWait = absl::Duration {};
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        const auto freshness = std::max(platform_.freshness_, configuration->platform_.freshness_);
+        knowledgeWait = std::max({ freshness, platform_.loan_, configuration->platform_.loan_ });
+        platform_ = configuration->platform_;
+        for (const auto &entry : pools_) {
+            removed.insert(entry.first);
+        }
+    }
+    for (const auto &pool : configuration->pools_) {
+        configurePool(now, *configuration, knowledgeWait, pool);
+        removed.erase(pool.name_);
+    }
+    for (const auto &name : removed) {
+        removePool(now, configuration->revision_, name);
+    }
+}
+
+auto SlotKeeper::configurePool(absl::Time now, const Configuration &configuration, absl::Duration knowledgeWait, const Pool &pool) -> void
+{
+    auto division = Division { pool, {} };
+    auto regionsOf = std::map<std::string, std::set<std::string>> {};
+    for (const auto &backend : pool.backends_) {
+        division.owners_.push_back(slotOwners(configuration, backend));
+        for (const auto &owner : division.owners_.back()) {
+            regionsOf[owner].insert(regionOfZone(configuration, backend.zone_));
+        }
+    }
+    auto names = std::vector<std::string> {};
+    for (const auto &entry : regionsOf) {
+        names.push_back(entry.first);
+    }
+    const auto owned = slotsOwned(configuration, pool, hostName_);
+    const auto *self = findByName(configuration.entryHosts_, hostName_);
+    const auto zone = self == nullptr ? std::string {} : self->zone_;
+
+    auto &slots = findOrAdd(pool.name_);
+    const auto lock = absl::MutexLock(&slots.mutex_);
+    if (configuration.revision_ < slots.revision_) {
+        return;
+    }
+    const auto time = latest(now);
+    const auto deadline = longestDeadlineOf(configuration, pool.name_);
+    // A former owner serves until its knowledge is too old, and a request that it starts last runs until its deadline.
+    const auto growsAt = time + withMargin(knowledgeWait + std::max(slots.longestDeadline_, deadline));
+    const auto isNewDivision = slots.division_ != division;
+    for (auto &[name, backend] : slots.backends_) {
+        backend.isUsable_ = false;
+        if (isNewDivision) {
+            dropTaken(backend.share_, time);
+        }
+    }
+    for (const auto &part : owned) {
+        auto &backend = slots.backends_[part.backend_.name_];
+        backend.server_ = part.backend_;
+        backend.region_ = regionOfZone(configuration, part.backend_.zone_);
+        backend.nearness_ = nearnessOf(configuration, zone, part.backend_.zone_);
+        backend.isUsable_ = !isDrained(configuration, part.backend_);
+        setSlots(backend.share_, time, part.slots_, growsAt);
+    }
+    for (auto &[name, backend] : slots.backends_) {
+        if (findByName(pool.backends_, name) == nullptr) {
+            setSlots(backend.share_, time, 0, absl::InfiniteFuture());
+        }
+    }
+    slots.lenders_.clear();
+    for (auto &lender : orderLenders(configuration, hostName_, names)) {
+        const auto &regions = regionsOf[lender.host_.name_];
+        slots.lenders_.push_back({ std::move(lender), regions });
+    }
+    slots.weights_.clear();
+    for (const auto &organisation : configuration.organisations_) {
+        slots.weights_[organisation.name_] = organisation.weight_;
+    }
+    slots.division_ = std::move(division);
+    slots.longestDeadline_ = deadline;
+    slots.loan_ = configuration.platform_.loan_ + deadline;
+    slots.revision_ = configuration.revision_;
+    dispatch(slots, time);
+}
+
+auto SlotKeeper::removePool(absl::Time now, std::int64_t revision, const std::string &name) -> void
+{
+    auto &slots = findOrAdd(name);
+    const auto lock = absl::MutexLock(&slots.mutex_);
+    if (revision < slots.revision_) {
+        return;
+    }
+    const auto time = latest(now);
+    for (auto &[backendName, backend] : slots.backends_) {
+        backend.isUsable_ = false;
+        dropTaken(backend.share_, time);
+        setSlots(backend.share_, time, 0, absl::InfiniteFuture());
+    }
+    slots.division_ = {};
+    slots.lenders_.clear();
+    slots.revision_ = revision;
+}
+
+auto SlotKeeper::takeSlot(absl::Time now, const SlotRequest &request) -> std::optional<SlotGrant>
+{
+    auto *slots = find(request.pool_);
+    if (slots == nullptr) {
+        return std::nullopt;
+    }
+    auto waiter = Waiter { &request, std::nullopt, {} };
+    auto hasBorrowed = false;
+    const auto lock = absl::MutexLock(&slots->mutex_);
+    const auto id = ++slots->lastGrant_;
+    const auto weight = slots->weights_.find(request.organisation_);
+    join(slots->queue_, request.organisation_, weight == slots->weights_.end() ? 1 : weight->second, id);
+    slots->waiters_[id] = &waiter;
+    while (true) {
+        auto time = latest(now);
+        dispatch(*slots, time);
+        if (waiter.grant_.has_value()) {
+            return waiter.grant_;
+        }
+        const auto round = slots->isBorrowing_ ? Round {} : planRound(*slots, time, request);
+        if (!round.lenders_.empty() && (time < request.waitUntil_ || !hasBorrowed)) {
+            hasBorrowed = true;
+            slots->isBorrowing_ = true;
+            slots->mutex_.Unlock();
+            runRound(*slots, request.pool_, round, waiter);
+            slots->mutex_.Lock();
+            slots->isBorrowing_ = false;
+            const auto isServed = waiter.grant_.has_value();
+            slots->backoff_ = isServed ? firstBackoff : std::clamp(slots->backoff_ * 2, firstBackoff, longestBackoff);
+            slots->nextRoundAt_ = isServed ? absl::InfinitePast() : latest(now) + slots->backoff_;
+            continue;
+        }
+        time = latest(now);
+        if (time >= request.waitUntil_) {
+            leave(slots->queue_, request.organisation_, id);
+            slots->waiters_.erase(id);
+            return std::nullopt;
+        }
+        waiter.granted_.WaitWithTimeout(&slots->mutex_, std::min(longestSleep, request.waitUntil_ - time));
+    }
+}
+
+auto SlotKeeper::dispatch(PoolSlots &slots, absl::Time now) const -> void
+{
+    slots.mutex_.AssertHeld();
+    auto hasFree = false;
+    for (auto &[name, backend] : slots.backends_) {
+        advance(backend.share_, now);
+        hasFree = hasFree || freeFor(backend.share_, now) > 0;
+    }
+    if (!hasFree || slots.waiters_.empty()) {
+        return;
+    }
+    for (const auto id : serviceOrder(slots.queue_)) {
+        auto *waiter = slots.waiters_.at(id);
+        auto grant = tryGrant(slots, now, id, *waiter->request_);
+        if (!grant.has_value()) {
+            continue;
+        }
+        serve(slots.queue_, waiter->request_->organisation_, id);
+        slots.waiters_.erase(id);
+        waiter->grant_ = std::move(grant);
+        waiter->granted_.Signal();
+    }
+}
+
+auto SlotKeeper::tryGrant(PoolSlots &slots, absl::Time now, std::uint64_t id, const SlotRequest &request) const -> std::optional<SlotGrant>
+{
+    slots.mutex_.AssertHeld();
+    const auto deadline = std::min(request.deadline_, now + slots.longestDeadline_);
+    if (deadline <= now) {
+        return std::nullopt;
+    }
+    Backend *best = nullptr;
+    auto bestRank = std::tuple<Nearness, double, std::uint64_t> {};
+    for (auto &[name, backend] : slots.backends_) {
+        const auto isWanted = request.region_.empty() || backend.region_ == request.region_;
+        if (!backend.isUsable_ || !isWanted || contains(request.excludedBackends_, name) || freeFor(backend.share_, deadline) <= 0) {
+            continue;
+        }
+        const auto used = static_cast<double>(backend.share_.uses_.size()) / std::max(1, heldSlots(backend.share_));
+        const auto rank = std::tuple(backend.nearness_, used, stableHash(name, seed_ + id));
+        if (best == nullptr || rank < bestRank) {
+            best = &backend;
+            bestRank = rank;
+        }
+    }
+    if (best == nullptr || !take(best->share_, now, id, deadline)) {
+        return std::nullopt;
+    }
+    return SlotGrant { request.pool_, best->server_, deadline, id };
+}
+
+auto SlotKeeper::planRound(PoolSlots &slots, absl::Time now, const SlotRequest &request) const -> Round
+{
+    slots.mutex_.AssertHeld();
+    auto uses = 0;
+    for (const auto &[name, backend] : slots.backends_) {
+        uses += static_cast<int>(backend.share_.uses_.size());
+    }
+    const auto count = std::min(largestBorrow, static_cast<int>(slots.waiters_.size()) + uses / usesPerExtraSlot);
+    auto round = Round { {}, slots.revision_, count, slots.loan_, now + borrowRoundBudget };
+    if (now < slots.nextRoundAt_) {
+        return round;
+    }
+    std::erase_if(slots.avoidUntil_, [&](const auto &entry) {
+        return entry.second <= now;
+    });
+    auto chosen = std::map<Nearness, int> {};
+    for (const auto &candidate : slots.lenders_) {
+        const auto &lender = candidate.lender_;
+        const auto isWanted = request.region_.empty() || candidate.regions_.count(request.region_) > 0;
+        if (isWanted && slots.avoidUntil_.count(lender.host_.name_) == 0 && chosen[lender.nearness_] < peersPerNearness) {
+            ++chosen[lender.nearness_];
+            round.lenders_.push_back(lender);
+        }
+    }
+    return round;
+}
+
+auto SlotKeeper::runRound(PoolSlots &slots, const std::string &pool, const Round &round, const Waiter &waiter) const -> void
+{
+    for (const auto &lender : round.lenders_) {
+        const auto sentAt = lending_.clock_();
+        if (sentAt >= round.endsAt_) {
+            return;
+        }
+        const auto loan = lending_.borrowSlots_(lender.host_, round.revision_, pool, round.count_, round.endsAt_ - sentAt);
+        const auto isLent = acceptLoan(slots, round, lender, sentAt, loan);
+        logLine(wallNow(), LogLevel::Debug, isLent ? "slots borrowed" : "no slots borrowed", { { "pool", pool }, { "lender", lender.host_.name_ } });
+        const auto lock = absl::MutexLock(&slots.mutex_);
+        if (waiter.grant_.has_value()) {
+            return;
+        }
+    }
+}
+
+auto SlotKeeper::acceptLoan(PoolSlots &slots, const Round &round, const Lender &lender, absl::Time sentAt, const std::optional<peer::SlotLoan> &loan) const
+    -> bool
+{
+    const auto lock = absl::MutexLock(&slots.mutex_);
+    const auto now = lending_.clock_();
+    if (!loan.has_value()) {
+        slots.avoidUntil_[lender.host_.name_] = now + avoidSilent;
+        return false;
+    }
+    // A loan of an earlier revision is not used: its lender may have given the slots up since.
+    if (slots.revision_ != round.revision_) {
+        return false;
+    }
+    auto isLent = false;
+    for (const auto &[name, count] : loan->slots) {
+        const auto backend = slots.backends_.find(name);
+        if (backend != slots.backends_.end() && count > 0) {
+            borrow(backend->second.share_, now, count, sentAt + round.loan_);
+            isLent = true;
+        }
+    }
+    if (!isLent) {
+        slots.avoidUntil_[lender.host_.name_] = now + avoidRefused;
+    }
+    dispatch(slots, now);
+    return isLent;
+}
+
+auto SlotKeeper::returnSlot(absl::Time now, const SlotGrant &grant, bool certainlyEnded) -> void
+{
+    auto *slots = find(grant.pool_);
+    if (slots == nullptr) {
+        return;
+    }
+    const auto lock = absl::MutexLock(&slots->mutex_);
+    const auto time = latest(now);
+    const auto backend = slots->backends_.find(grant.backend_.name_);
+    if (backend != slots->backends_.end()) {
+        giveBack(backend->second.share_, time, grant.id_, certainlyEnded);
+    }
+    dispatch(*slots, time);
+}
+
+auto SlotKeeper::lendSlots(absl::Time now, std::int64_t revision, const std::string &pool, int count) -> std::map<std::string, int>
+{
+    auto *slots = find(pool);
+    if (slots == nullptr) {
+        return {};
+    }
+    const auto lock = absl::MutexLock(&slots->mutex_);
+    if (slots->revision_ != revision || !slots->waiters_.empty()) {
+        return {};
+    }
+    const auto time = latest(now);
+    auto freeSlots = std::map<std::string, int> {};
+    auto total = 0;
+    auto uses = 0;
+    for (auto &[name, backend] : slots->backends_) {
+        advance(backend.share_, time);
+        uses += static_cast<int>(backend.share_.uses_.size());
+        if (backend.isUsable_) {
+            freeSlots[name] = freeOwn(backend.share_);
+            total += freeSlots[name];
+        }
+    }
+    const auto kept = (uses + usesPerKeptSlot - 1) / usesPerKeptSlot;
+    auto lent = std::map<std::string, int> {};
+    for (auto left = std::min(count, total - kept); left > 0; --left) {
+        const auto most = std::max_element(freeSlots.begin(), freeSlots.end(), [](const auto &a, const auto &b) {
+            return a.second < b.second;
+        });
+        --most->second;
+        ++lent[most->first];
+    }
+    for (const auto &[name, slotCount] : lent) {
+        std::ignore = lend(slots->backends_.at(name).share_, time, slotCount, time + withMargin(slots->loan_));
+    }
+    return lent;
+}
+
+auto SlotKeeper::slotsOf(const std::string &pool, const std::string &backend) const -> SlotShare
+{
+    const auto *slots = find(pool);
+    if (slots == nullptr) {
+        return {};
+    }
+    const auto lock = absl::MutexLock(&slots->mutex_);
+    const auto found = slots->backends_.find(backend);
+    return found == slots->backends_.end() ? SlotShare {} : found->second.share_;
+}
+
+}
--- /dev/null
+++ b/libraries/request/fairqueue.h
@@ -0,0 +1,55 @@
+/** Weighted fair order of waiting requests: start-time fair queueing over organisations. */
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** One waiting request. */
+struct FairTicket
+{
+    std::uint64_t id_ = 0;
+    /** Virtual time at which it joined. */
+    double joinedAt_ = 0;
+
+    auto operator==(const FairTicket &other) const -> bool = default;
+};
+
+/** The waiting requests of one organisation. */
+struct FairLine
+{
+    double weight_ = 1;
+    /** Virtual time at which the service given so far is paid for. */
+    double paidUntil_ = 0;
+    std::deque<FairTicket> tickets_;
+
+    auto operator==(const FairLine &other) const -> bool = default;
+};
+
+/** Waiting requests of all organisations. An organisation's service is measured in requests divided by its weight. */
+struct FairQueue
+{
+    double virtualTime_ = 0;
+    std::map<std::string, FairLine> lines_;
+
+    auto operator==(const FairQueue &other) const -> bool = default;
+};
+
+/** Adds a request. The weight must be above zero; other values count as 1. */
+auto join(FairQueue &queue, const std::string &organisation, double weight, std::uint64_t id) -> void;
+
+/** Removes a request that gave up. It does not count as service. */
+auto leave(FairQueue &queue, const std::string &organisation, std::uint64_t id) -> void;
+
+/** Removes a request that is served now and counts it as service. */
+auto serve(FairQueue &queue, const std::string &organisation, std::uint64_t id) -> void;
+
+/** The waiting requests in the order in which they should be served. */
+[[nodiscard]] auto serviceOrder(const FairQueue &queue) -> std::vector<std::uint64_t>;
+
+}
--- /dev/null
+++ b/libraries/request/sharebucket.cpp
@@ -0,0 +1,214 @@
+#include "request/sharebucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto marginPart = 0.1;
+constexpr auto marginFixed = absl::Milliseconds(100);
+
+/** Time over which demand is averaged. */
+constexpr auto demandSpan = absl::Seconds(1);
+
+/** Demand is multiplied by this before it is compared with a rate, so that small variations do not lead to a new loan each. */
+constexpr auto demandHeadroom = 1.25;
+
+/** A demand below this many requests a second counts as none. */
+constexpr auto negligibleDemand = 0.05;
+
+/** Burst to ask for, as seconds of the missing rate. */
+constexpr auto borrowedBurstSeconds = 0.5;
+
+/** Smallest burst to ask for. */
+constexpr auto smallestBorrowedBurst = 2.0;
+
+/** A loan of less than one whole token of burst and less than this rate is not worth its bookkeeping. */
+constexpr auto smallestLentRate = 1.0;
+
+/** Rounding error allowed when tokens are compared with 1. */
+constexpr auto tokenRounding = 1e-9;
+
+auto sumOf(const std::vector<RateLoanPart> &loans) -> RateShare
+{
+    auto sum = RateShare {};
+    for (const auto &loan : loans) {
+        sum.rate_ += loan.share_.rate_;
+        sum.burst_ += loan.share_.burst_;
+    }
+    return sum;
+}
+
+/** The own share that is neither lent nor owed. */
+auto ownFree(const ShareBucket &bucket) -> RateShare
+{
+    const auto given = sumOf(bucket.given_);
+    return { std::max(0.0, bucket.own_.rate_ - given.rate_), std::max(0.0, bucket.own_.burst_ - given.burst_) };
+}
+
+auto clipTokens(ShareBucket &bucket) -> void
+{
+    bucket.tokens_ = std::min(bucket.tokens_, inForce(bucket).burst_);
+}
+
+auto accrueUntil(ShareBucket &bucket, absl::Time time) -> void
+{
+    if (time <= bucket.updatedAt_) {
+        return;
+    }
+    const auto capacity = inForce(bucket);
+    if (bucket.updatedAt_ != absl::InfinitePast()) {
+        bucket.tokens_ += capacity.rate_ * absl::ToDoubleSeconds(time - bucket.updatedAt_);
+    }
+    bucket.tokens_ = std::min(bucket.tokens_, capacity.burst_);
+    bucket.updatedAt_ = time;
+}
+
+auto nextChange(const ShareBucket &bucket) -> absl::Time
+{
+    auto next = bucket.nextAt_;
+    for (const auto &loan : bucket.given_) {
+        next = std::min(next, loan.until_);
+    }
+    for (const auto &loan : bucket.taken_) {
+        next = std::min(next, loan.until_);
+    }
+    return next;
+}
+
+auto applyChanges(ShareBucket &bucket, absl::Time time) -> void
+{
+    const auto ended = [&](const RateLoanPart &loan) {
+        return loan.until_ <= time;
+    };
+    std::erase_if(bucket.given_, ended);
+    std::erase_if(bucket.taken_, ended);
+    if (bucket.nextAt_ <= time) {
+        bucket.own_ = bucket.next_;
+        bucket.nextAt_ = absl::InfiniteFuture();
+    }
+    clipTokens(bucket);
+}
+
+}
+
+auto waitMargin(absl::Duration period) -> absl::Duration
+{
+    return period * marginPart + marginFixed;
+}
+
+auto withMargin(absl::Duration period) -> absl::Duration
+{
+    return period + waitMargin(period);
+}
+
+auto inForce(const ShareBucket &bucket) -> RateShare
+{
+    const auto given = sumOf(bucket.given_);
+    const auto taken = sumOf(bucket.taken_);
+    return { std::max(0.0, bucket.own_.rate_ - given.rate_ + taken.rate_), std::max(0.0, bucket.own_.burst_ - given.burst_ + taken.burst_) };
+}
+
+auto advance(ShareBucket &bucket, absl::Time now) -> void
+{
+    while (true) {
+        const auto change = nextChange(bucket);
+        if (change > now) {
+            break;
+        }
+        accrueUntil(bucket, change);
+        applyChanges(bucket, change);
+    }
+    accrueUntil(bucket, now);
+}
+
+auto setShare(ShareBucket &bucket, absl::Time now, const RateShare &share, absl::Time growsAt) -> void
+{
+    advance(bucket, now);
+    const auto grows = share.rate_ > bucket.own_.rate_ || share.burst_ > bucket.own_.burst_;
+    const auto isPending = bucket.nextAt_ != absl::InfiniteFuture() && bucket.next_ == share;
+    bucket.own_ = { std::min(bucket.own_.rate_, share.rate_), std::min(bucket.own_.burst_, share.burst_) };
+    if (!isPending) {
+        bucket.next_ = share;
+        bucket.nextAt_ = grows ? growsAt : absl::InfiniteFuture();
+    }
+    clipTokens(bucket);
+}
+
+auto dropTaken(ShareBucket &bucket, absl::Time now) -> void
+{
+    advance(bucket, now);
+    bucket.taken_.clear();
+    clipTokens(bucket);
+}
+
+auto take(ShareBucket &bucket, absl::Time now) -> bool
+{
+    advance(bucket, now);
+    if (bucket.tokens_ < 1 - tokenRounding) {
+        return false;
+    }
+    bucket.tokens_ -= 1;
+    return true;
+}
+
+auto noteDemand(ShareBucket &bucket, absl::Time now) -> void
+{
+    bucket.demand_ = demandAt(bucket, now) + 1 / absl::ToDoubleSeconds(demandSpan);
+    bucket.demandAt_ = std::max(bucket.demandAt_, now);
+}
+
+auto demandAt(const ShareBucket &bucket, absl::Time now) -> double
+{
+    if (bucket.demandAt_ == absl::InfinitePast() || now <= bucket.demandAt_) {
+        return bucket.demand_;
+    }
+    return bucket.demand_ * std::exp(-absl::FDivDuration(now - bucket.demandAt_, demandSpan));
+}
+
+auto lend(ShareBucket &bucket, absl::Time now, const RateShare &wanted, absl::Time until) -> LentTokens
+{
+    advance(bucket, now);
+    const auto available = ownFree(bucket);
+    auto kept = RateShare {};
+    const auto demand = demandAt(bucket, now) * demandHeadroom;
+    if (demand > negligibleDemand) {
+        const auto part = available.rate_ > 0 ? std::min(1.0, demand / available.rate_) : 1.0;
+        kept = { available.rate_ * part, std::max(1.0, available.burst_ * part) };
+    }
+    auto lent = LentTokens {};
+    lent.share_.rate_ = std::max(0.0, std::min(wanted.rate_, available.rate_ - kept.rate_));
+    lent.share_.burst_ = std::max(0.0, std::min(wanted.burst_, available.burst_ - kept.burst_));
+    if (lent.share_.rate_ < smallestLentRate && lent.share_.burst_ < 1) {
+        return {};
+    }
+    lent.tokens_ = std::min(lent.share_.burst_, std::max(0.0, bucket.tokens_ - std::min(bucket.tokens_, kept.burst_)));
+    bucket.tokens_ -= lent.tokens_;
+    bucket.given_.push_back({ lent.share_, until });
+    clipTokens(bucket);
+    return lent;
+}
+
+auto borrow(ShareBucket &bucket, absl::Time now, const LentTokens &lent, absl::Time until) -> void
+{
+    advance(bucket, now);
+    if (until <= now) {
+        return;
+    }
+    bucket.taken_.push_back({ lent.share_, until });
+    bucket.tokens_ += lent.tokens_;
+    clipTokens(bucket);
+}
+
+auto wantedLoan(const ShareBucket &bucket, absl::Time now) -> RateShare
+{
+    const auto demand = demandAt(bucket, now) * demandHeadroom;
+    const auto missing = std::max(0.0, demand - inForce(bucket).rate_);
+    return { missing, std::max(smallestBorrowedBurst, std::ceil(missing * borrowedBurstSeconds)) };
+}
+
+}
--- /dev/null
+++ b/libraries/request/slotshare.h
@@ -0,0 +1,82 @@
+/** One host's slots of one backend server: owned, lent and borrowed, and which are in use. */
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** Slots lent or borrowed until a time. */
+struct SlotLoanPart
+{
+    int slots_ = 0;
+    absl::Time until_;
+    /** Distinguishes the loans of one share. */
+    std::uint64_t id_ = 0;
+
+    auto operator==(const SlotLoanPart &other) const -> bool = default;
+};
+
+/** One slot in use. */
+struct SlotUse
+{
+    std::uint64_t grant_ = 0;
+    /** The loan the slot came with; 0 for an own slot. */
+    std::uint64_t loan_ = 0;
+    /** Time after which the backend server has stopped the request. */
+    absl::Time deadline_;
+    /** The request is over for this host, but the backend server may still run it. */
+    bool uncertain_ = false;
+
+    auto operator==(const SlotUse &other) const -> bool = default;
+};
+
+/** Slots of one backend server. It starts without slots. Times are monotonic times of this host. */
+struct SlotShare
+{
+    int own_ = 0;
+    /** The own slots once a growth takes effect. */
+    int next_ = 0;
+    absl::Time nextAt_ = absl::InfiniteFuture();
+    std::vector<SlotLoanPart> given_;
+    std::vector<SlotLoanPart> taken_;
+    std::vector<SlotUse> uses_;
+    std::uint64_t lastLoan_ = 0;
+
+    auto operator==(const SlotShare &other) const -> bool = default;
+};
+
+/** Brings a share to a time: ends loans, applies a growth, and frees slots of uncertain requests whose deadline has passed. */
+auto advance(SlotShare &share, absl::Time now) -> void;
+
+/** Sets the own slots. What shrinks does so at once; what grows does so at the given time. */
+auto setSlots(SlotShare &share, absl::Time now, int slots, absl::Time growsAt) -> void;
+
+/** Own slots that are neither in use nor lent. */
+[[nodiscard]] auto freeOwn(const SlotShare &share) -> int;
+
+/** Slots that a request with this deadline may use. */
+[[nodiscard]] auto freeFor(const SlotShare &share, absl::Time deadline) -> int;
+
+/** Slots that this host holds, whether in use or not: own ones not lent, and borrowed ones. */
+[[nodiscard]] auto heldSlots(const SlotShare &share) -> int;
+
+/** Takes a slot for a grant. A borrowed slot is used only when its loan lasts until the deadline, and before an own one, since it expires. */
+[[nodiscard]] auto take(SlotShare &share, absl::Time now, std::uint64_t grant, absl::Time deadline) -> bool;
+
+/** Gives a slot back. When the request has not certainly ended, the slot stays in use until its deadline. */
+auto giveBack(SlotShare &share, absl::Time now, std::uint64_t grant, bool certainlyEnded) -> void;
+
+/** Lends up to the wanted number of free own slots until a time; returns how many. */
+[[nodiscard]] auto lend(SlotShare &share, absl::Time now, int wanted, absl::Time until) -> int;
+
+/** Adds slots received now that may be used until the given time, which the borrower counts from when it sent its request. */
+auto borrow(SlotShare &share, absl::Time now, int slots, absl::Time until) -> void;
+
+/** Stops using the loans taken for new requests, since they belong to an earlier division of the slots. */
+auto dropTaken(SlotShare &share, absl::Time now) -> void;
+
+}
