--- /dev/null
+++ b/libraries/request/credentials.cpp
@@ -0,0 +1,170 @@
+#include "request/credentials.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto parameterName = "api_key";
+
+// A backend server behind another decoder may decode a text more than once.
+constexpr auto maximumDecodings = 3;
+
+auto addKey(std::vector<std::string> &keys, std::string_view key) -> void
+{
+    if (!key.empty() && std::find(keys.begin(), keys.end(), key) == keys.end()) {
+        keys.emplace_back(key);
+    }
+}
+
+auto splitAt(std::string_view text, std::string_view separators) -> std::vector<std::string_view>
+{
+    auto parts = std::vector<std::string_view> {};
+    while (true) {
+        const auto end = text.find_first_of(separators);
+        parts.push_back(text.substr(0, end));
+        if (end == std::string_view::npos) {
+            return parts;
+        }
+        text.remove_prefix(end + 1);
+    }
+}
+
+auto unquoted(std::string_view text) -> std::string_view
+{
+    const auto quoted = text.size() >= 2 && text.front() == '"' && text.back() == '"';
+    return quoted ? text.substr(1, text.size() - 2) : text;
+}
+
+auto isKeyParameter(std::string_view nameAndValue) -> bool
+{
+    const auto name = percentDecoded(trimmed(nameAndValue.substr(0, nameAndValue.find('='))));
+    return equalIgnoringCase(name, parameterName);
+}
+
+auto parameterValue(std::string_view nameAndValue) -> std::string
+{
+    const auto equals = nameAndValue.find('=');
+    return equals == std::string_view::npos ? std::string {} : percentDecoded(unquoted(trimmed(nameAndValue.substr(equals + 1))));
+}
+
+// Takes the key parameters out of a list, keeping the other parameters and the separators between them as they are.
+auto withoutKeyParameters(std::string_view list, std::string_view separators, std::vector<std::string> &keys) -> std::string
+{
+    auto kept = std::string {};
+    auto position = std::size_t { 0 };
+    for (const auto part : splitAt(list, separators)) {
+        const auto separator = position == 0 ? std::string_view {} : list.substr(position - 1, 1);
+        position += part.size() + 1;
+        if (isKeyParameter(part)) {
+            addKey(keys, parameterValue(part));
+            continue;
+        }
+        if (!kept.empty()) {
+            kept += separator;
+        }
+        kept += kept.empty() ? std::string(trimmed(part)) : std::string(part);
+    }
+    return kept;
+}
+
+auto takeFromAuthorization(std::string_view value, std::vector<std::string> &keys) -> void
+{
+    const auto words = splitAt(value, " \t,");
+    if (!equalIgnoringCase(words.front(), "bearer")) {
+        return;
+    }
+    for (const auto word : words) {
+        if (!equalIgnoringCase(word, "bearer")) {
+            addKey(keys, word);
+        }
+    }
+}
+
+auto takeFromApiKeyHeader(std::string_view value, std::vector<std::string> &keys) -> void
+{
+    for (const auto part : splitAt(value, ",")) {
+        addKey(keys, trimmed(part));
+    }
+}
+
+// Adds the header to the kept ones unless it carries keys only.
+auto takeFromHeader(const HeaderField &header, Credentials &credentials) -> void
+{
+    if (equalIgnoringCase(header.name_, "authorization")) {
+        takeFromAuthorization(trimmed(header.value_), credentials.keys_);
+        return;
+    }
+    if (equalIgnoringCase(header.name_, "x-api-key")) {
+        takeFromApiKeyHeader(header.value_, credentials.keys_);
+        return;
+    }
+    if (!equalIgnoringCase(header.name_, "cookie")) {
+        credentials.content_.headers_.push_back(header);
+        return;
+    }
+    // Some servers separate cookies by commas as well.
+    const auto cookies = withoutKeyParameters(header.value_, ";,", credentials.keys_);
+    if (!cookies.empty()) {
+        credentials.content_.headers_.push_back({ header.name_, cookies });
+    }
+}
+
+auto takeFromTarget(std::string_view target, std::vector<std::string> &keys) -> std::string
+{
+    const auto question = target.find('?');
+    if (question == std::string_view::npos) {
+        return std::string(target);
+    }
+    const auto path = target.substr(0, question);
+    const auto query = withoutKeyParameters(target.substr(question + 1), "&;", keys);
+    return query.empty() ? std::string(path) : std::string(path) + "?" + query;
+}
+
+auto textContainsKey(std::string_view text, std::string_view key) -> bool
+{
+    if (text.find(key) != std::string_view::npos) {
+        return true;
+    }
+    if (text.find('%') == std::string_view::npos) {
+        return false;
+    }
+    auto decoded = std::string(text);
+    for (auto round = 0; round < maximumDecodings; ++round) {
+        decoded = percentDecoded(decoded);
+        if (decoded.find(key) != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
+}
+
+auto takeCredentials(RequestContent content) -> Credentials
+{
+    auto credentials = Credentials {};
+    for (const auto &header : content.headers_) {
+        takeFromHeader(header, credentials);
+    }
+    credentials.content_.target_ = takeFromTarget(content.target_, credentials.keys_);
+    credentials.content_.method_ = std::move(content.method_);
+    credentials.content_.body_ = std::move(content.body_);
+    return credentials;
+}
+
+auto containsKey(const RequestContent &content, std::string_view key) -> bool
+{
+    if (textContainsKey(content.target_, key) || textContainsKey(content.body_, key)) {
+        return true;
+    }
+    return std::any_of(content.headers_.begin(), content.headers_.end(), [&](const HeaderField &header) {
+        return textContainsKey(header.name_, key) || textContainsKey(header.value_, key);
+    });
+}
+
+}
--- /dev/null
+++ b/libraries/request/credentialstest.cpp
@@ -0,0 +1,97 @@
+#include "request/credentials.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+struct CredentialsCase
+{
+    std::string description_;
+    std::string target_;
+    HeaderFields headers_;
+    std::vector<std::string> expectedKeys_;
+    std::string expectedTarget_;
+    HeaderFields expectedHeaders_;
+};
+
+struct ContentCase
+{
+    std::string description_;
+    RequestContent content_;
+    bool expected_;
+};
+
+}
+
+// Guards against a key that reaches a backend server, and against a key that is overlooked because of the way it is written.
+TEST_CASE("keys are found and removed wherever they may be carried")
+{
+    const auto cases = std::vector<CredentialsCase> {
+        { "no key", "/a?b=1", { { "Accept", "x" } }, {}, "/a?b=1", { { "Accept", "x" } } },
+        { "bearer", "/a", { { "Authorization", "Bearer k1" } }, { "k1" }, "/a", {} },
+        { "bearer in other letter case", "/a", { { "aUTHORIZATION", " bEARER   k1 " } }, { "k1" }, "/a", {} },
+        { "two bearer tokens in one header", "/a", { { "Authorization", "Bearer k1, Bearer k2" } }, { "k1", "k2" }, "/a", {} },
+        { "bearer without a token", "/a", { { "Authorization", "Bearer" } }, {}, "/a", {} },
+        { "another scheme", "/a", { { "Authorization", "Basic azE=" } }, {}, "/a", {} },
+        { "api key header", "/a", { { "x-api-KEY", "k1" } }, { "k1" }, "/a", {} },
+        { "the same key twice", "/a?api_key=k1", { { "X-Api-Key", "k1" }, { "X-Api-Key", "k1" } }, { "k1" }, "/a", {} },
+        { "different keys", "/a?api_key=k2", { { "X-Api-Key", "k1" } }, { "k1", "k2" }, "/a", {} },
+        { "query between others", "/a?b=1&api_key=k1&c=%20", {}, { "k1" }, "/a?b=1&c=%20", {} },
+        { "query first", "/a?api_key=k1&c=2", {}, { "k1" }, "/a?c=2", {} },
+        { "query in other letter case", "/a?API_Key=k1", {}, { "k1" }, "/a", {} },
+        { "query percent-encoded", "/a?%61pi%5Fkey=%6b1", {}, { "k1" }, "/a", {} },
+        { "query repeated", "/a?api_key=k1&api_key=k2", {}, { "k1", "k2" }, "/a", {} },
+        { "query after semicolon", "/a?b=1;api_key=k1", {}, { "k1" }, "/a?b=1", {} },
+        { "query without value", "/a?api_key", {}, {}, "/a", {} },
+        { "a longer parameter name stays", "/a?my_api_key=z", {}, {}, "/a?my_api_key=z", {} },
+        { "cookie alone", "/a", { { "Cookie", "api_key=k1" } }, { "k1" }, "/a", {} },
+        { "cookie between others", "/a", { { "cookie", "a=1; API_KEY=k1; b=2" } }, { "k1" }, "/a", { { "cookie", "a=1; b=2" } } },
+        { "cookie first", "/a", { { "cookie", "api_key=k1; b=2" } }, { "k1" }, "/a", { { "cookie", "b=2" } } },
+        { "cookie quoted and encoded", "/a", { { "Cookie", "api%5fkey=\"%6B1\"" } }, { "k1" }, "/a", {} },
+    };
+    for (const auto &credentialsCase : cases) {
+        CAPTURE(credentialsCase.description_);
+        const auto credentials = takeCredentials({ "GET", credentialsCase.target_, credentialsCase.headers_, "body" });
+        CHECK(credentials.keys_ == credentialsCase.expectedKeys_);
+        CHECK(credentials.content_.target_ == credentialsCase.expectedTarget_);
+        CHECK(credentials.content_.headers_ == credentialsCase.expectedHeaders_);
+        CHECK(credentials.content_.method_ == "GET");
+        CHECK(credentials.content_.body_ == "body");
+    }
+}
+
+// Guards against a key that reaches a backend server outside the fields that are removed.
+TEST_CASE("a key is detected anywhere else in the request")
+{
+    const auto cases = std::vector<ContentCase> {
+        { "absent", { "GET", "/a?b=1", { { "Accept", "x" } }, "body" }, false },
+        { "path", { "GET", "/a/secret/b", {}, "" }, true },
+        { "path encoded", { "GET", "/a/s%65cret", {}, "" }, true },
+        { "path encoded twice", { "GET", "/a/s%2565cret", {}, "" }, true },
+        { "query of another name", { "GET", "/a?other=secret", {}, "" }, true },
+        { "header value", { "GET", "/a", { { "Referer", "/x?api_key=secret" } }, "" }, true },
+        { "header name", { "GET", "/a", { { "X-secret", "1" } }, "" }, true },
+        { "header value encoded", { "GET", "/a", { { "X-A", "%73ecret" } }, "" }, true },
+        { "body", { "POST", "/a", {}, "{\"key\":\"secret\"}" }, true },
+        { "body encoded", { "POST", "/a", {}, "key=secre%74" }, true },
+        { "incomplete percent sequence", { "POST", "/a", {}, "key=%7" }, false },
+    };
+    for (const auto &contentCase : cases) {
+        CAPTURE(contentCase.description_);
+        CHECK(containsKey(contentCase.content_, "secret") == contentCase.expected_);
+    }
+}
+
+// Guards against headers that concern one connection reaching the next one, where they could change how a message is delimited.
+TEST_CASE("hop-by-hop headers are removed")
+{
+    const auto headers =
+        HeaderFields { { "Connection", "close, X-One" }, { "x-one", "1" }, { "Transfer-Encoding", "chunked" }, { "TE", "trailers" }, { "X-Two", "2" } };
+    CHECK(withoutHopByHopHeaders(headers) == HeaderFields { { "X-Two", "2" } });
+}
