Add backend connections, strict HTTP framing and dispatch

Cause: cpp-httplib's client and parser decode percent sequences in header values. Its client also takes an undelimited body for a whole one and bounds each read, not the response. Change: messages are read and written by a small strict reader over a socket whose waits are all bounded by one deadline. The pool tells apart nothing sent, ended, incomplete, late, silent and whole, never sends twice, closes a connection after any failure and reuses none that has unexpected bytes.

--- /dev/null
+++ b/libraries/connection/backendpool.cpp
@@ -0,0 +1,297 @@
+#include "connection/backendpool.h"
+
+#include "connection/httpmessage.h"
+#include "core/clock.h"
+#include "core/digest.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto timeoutHeader = "X-Request-Timeout-Ms";
+
+constexpr auto firstFinalStatus = 200;
+constexpr auto noContentStatus = 204;
+constexpr auto notModifiedStatus = 304;
+constexpr auto switchingProtocolsStatus = 101;
+
+auto hasBodyByMethod(const std::string &method) -> bool
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+auto isSetHere(const std::string &name) -> bool
+{
+    return equalIgnoringCase(name, "content-length") || equalIgnoringCase(name, "expect") || equalIgnoringCase(name, timeoutHeader);
+}
+
+auto requestText(const RequestContent &request, absl::Duration remaining) -> std::string
+{
+    auto headers = HeaderFields {};
+    for (auto &header : withoutHopByHopHeaders(request.headers_)) {
+        if (!isSetHere(header.name_)) {
+            headers.push_back(std::move(header));
+        }
+    }
+    if (!request.body_.empty() || hasBodyByMethod(request.method_)) {
+        headers.push_back({ "Content-Length", std::to_string(request.body_.size()) });
+    }
+    headers.push_back({ timeoutHeader, std::to_string(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(remaining))) });
+    auto text = request.method_ + " " + request.target_ + " HTTP/1.1\r\n";
+    appendHeaders(text, headers);
+    text += request.body_;
+    return text;
+}
+
+auto failure(ExchangeStatus status, std::string detail) -> BackendExchange
+{
+    auto result = BackendExchange {};
+    result.status_ = status;
+    result.detail_ = std::move(detail);
+    return result;
+}
+
+auto failureOf(MessageStatus status) -> BackendExchange
+{
+    switch (status) {
+    case MessageStatus::Closed:
+        return failure(ExchangeStatus::Ended, "connection closed without a response");
+    case MessageStatus::TimedOut:
+        return failure(ExchangeStatus::TimedOut, "no whole response in time");
+    case MessageStatus::Cut:
+        return failure(ExchangeStatus::Incomplete, "connection closed within the response");
+    case MessageStatus::Failed:
+        return failure(ExchangeStatus::Incomplete, "connection reset within the response");
+    case MessageStatus::HeadTooLarge:
+    case MessageStatus::BodyTooLarge:
+        return failure(ExchangeStatus::Incomplete, "response too large");
+    case MessageStatus::Malformed:
+    case MessageStatus::Whole:
+        return failure(ExchangeStatus::Incomplete, "malformed response");
+    }
+    return failure(ExchangeStatus::Incomplete, "malformed response");
+}
+
+// Waits for the first byte of the response.
+auto awaitFirstByte(TcpConnection &connection, absl::Time limit, absl::Time deadline) -> std::optional<BackendExchange>
+{
+    const auto status = connection.fill(std::min(limit, deadline));
+    switch (status) {
+    case TransferStatus::Done:
+        return std::nullopt;
+    case TransferStatus::Closed:
+        return failure(ExchangeStatus::Ended, "connection closed without a response");
+    case TransferStatus::Failed:
+        return failure(ExchangeStatus::Ended, "connection reset without a response");
+    case TransferStatus::TimedOut:
+        break;
+    }
+    if (limit < deadline) {
+        return failure(ExchangeStatus::Silent, "no response on a connection used before");
+    }
+    return failure(ExchangeStatus::TimedOut, "no response in time");
+}
+
+struct ReceivedResponse
+{
+    BackendExchange exchange_;
+    bool reusable_ = false;
+};
+
+// Reads heads until one is not informational (1xx).
+auto readFinalHead(TcpConnection &connection, std::size_t limit, absl::Time deadline, MessageHead &head, StatusLine &statusLine) -> MessageStatus
+{
+    while (true) {
+        const auto status = readHead(connection, limit, deadline, head);
+        if (status != MessageStatus::Whole) {
+            return status;
+        }
+        const auto parsed = parseStatusLine(head.firstLine_);
+        if (!parsed || parsed->status_ == switchingProtocolsStatus) {
+            return MessageStatus::Malformed;
+        }
+        if (parsed->status_ >= firstFinalStatus) {
+            statusLine = *parsed;
+            return MessageStatus::Whole;
+        }
+    }
+}
+
+auto receive(TcpConnection &connection, const BackendPoolSettings &settings, const std::string &method, absl::Time deadline) -> ReceivedResponse
+{
+    auto head = MessageHead {};
+    auto statusLine = StatusLine {};
+    auto status = readFinalHead(connection, settings.maximumResponseHead_, deadline, head, statusLine);
+    if (status != MessageStatus::Whole) {
+        return { failureOf(status) };
+    }
+    const auto framing = bodyFraming(head.headers_);
+    if (!framing) {
+        return { failure(ExchangeStatus::Incomplete, "contradictory response framing") };
+    }
+    auto received = ReceivedResponse {};
+    auto &answer = received.exchange_.answer_;
+    const auto bodyless = method == "HEAD" || statusLine.status_ == noContentStatus || statusLine.status_ == notModifiedStatus;
+    if (!bodyless) {
+        // The end of such a body is the end of the connection, which a crash of the backend server looks like too.
+        if (!framing->chunked_ && !framing->length_) {
+            return { failure(ExchangeStatus::Incomplete, "undelimited response") };
+        }
+        status = readBody(connection, *framing, settings.maximumResponseBody_, deadline, answer.body_);
+        if (status != MessageStatus::Whole) {
+            return { failureOf(status) };
+        }
+    }
+    received.exchange_.status_ = ExchangeStatus::Whole;
+    received.exchange_.closing_ = closesConnection(head.headers_, statusLine.minorVersion_);
+    answer.status_ = statusLine.status_;
+    for (auto &header : withoutHopByHopHeaders(head.headers_)) {
+        // The length of a body that is passed on is set again; without a body it describes the body that a GET would have.
+        if (bodyless || !equalIgnoringCase(header.name_, "content-length")) {
+            answer.headers_.push_back(std::move(header));
+        }
+    }
+    received.reusable_ = !received.exchange_.closing_;
+    return received;
+}
+
+}
+
+auto exchangeStatusName(ExchangeStatus status) -> std::string_view
+{
+    switch (status) {
+    case ExchangeStatus::Whole:
+        return "whole";
+    case ExchangeStatus::NotSent:
+        return "not-sent";
+    case ExchangeStatus::Ended:
+        return "ended";
+    case ExchangeStatus::Incomplete:
+        return "incomplete";
+    case ExchangeStatus::TimedOut:
+        return "timed-out";
+    case ExchangeStatus::Silent:
+        return "silent";
+    }
+    return "incomplete";
+}
+
+BackendPool::BackendPool(BackendPoolSettings settings)
+    : settings_(settings)
+{
+}
+
+auto BackendPool::exchange(const BackendCall &call, const RequestContent &request) -> BackendExchange
+{
+    auto idle = takeIdle(call);
+    const auto reused = idle.has_value();
+    if (!idle) {
+        const auto generation = generationOf(call.address_);
+        auto connected = attempt([&] {
+            return TcpConnection::connect(call.address_, std::min(call.deadline_, monotonicNow() + settings_.connectTimeout_));
+        });
+        if (const auto *error = std::get_if<Error>(&connected)) {
+            return failure(ExchangeStatus::NotSent, describe(*error));
+        }
+        idle = IdleConnection { std::get<TcpConnection>(std::move(connected)), absl::InfinitePast(), generation };
+    }
+    auto &connection = idle->connection_;
+    const auto writtenBefore = connection.bytesWritten();
+    const auto remaining = call.deadline_ - monotonicNow();
+    if (remaining <= absl::ZeroDuration()) {
+        return failure(ExchangeStatus::NotSent, "the deadline passed before sending");
+    }
+    const auto written = connection.write(requestText(request, remaining), call.deadline_);
+    if (connection.bytesWritten() == writtenBefore) {
+        return failure(ExchangeStatus::NotSent, "the connection took no data");
+    }
+    auto received = ReceivedResponse {};
+    // A server may answer before it has read the whole request, so a failed write does not end the exchange.
+    const auto limit = reused ? monotonicNow() + call.firstByteLimit_ : absl::InfiniteFuture();
+    const auto early = awaitFirstByte(connection, limit, call.deadline_);
+    if (early) {
+        received.exchange_ = *early;
+    } else {
+        received = receive(connection, settings_, request.method_, call.deadline_);
+    }
+    received.exchange_.connectionReused_ = reused;
+    if (received.exchange_.status_ != ExchangeStatus::Whole) {
+        // The reset tells the backend server that its work is no longer wanted.
+        connection.abort();
+        return std::move(received.exchange_);
+    }
+    if (received.reusable_ && written == TransferStatus::Done && connection.isQuiet()) {
+        idle->idleSince_ = monotonicNow();
+        keepIdle(call.address_, std::move(*idle));
+    }
+    return std::move(received.exchange_);
+}
+
+auto BackendPool::closeIdle(const std::string &address) -> void
+{
+    auto closed = std::vector<IdleConnection> {};
+    auto &shard = shardOf(address);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &server = shard.servers_[address];
+    server.generation_ += 1;
+    closed.swap(server.idle_);
+}
+
+auto BackendPool::idleCount(const std::string &address) const -> std::size_t
+{
+    auto &shard = shardOf(address);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    const auto found = shard.servers_.find(address);
+    return found == shard.servers_.end() ? 0 : found->second.idle_.size();
+}
+
+auto BackendPool::shardOf(const std::string &address) const -> Shard &
+{
+    return shards_[stableHash(address) % shardCount];
+}
+
+auto BackendPool::takeIdle(const BackendCall &call) -> std::optional<IdleConnection>
+{
+    const auto now = monotonicNow();
+    const auto limit = call.repeatable_ ? settings_.idleLimit_ : settings_.strictIdleLimit_;
+    auto &shard = shardOf(call.address_);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &idle = shard.servers_[call.address_].idle_;
+    std::erase_if(idle, [&](const IdleConnection &connection) {
+        return now - connection.idleSince_ > settings_.idleLimit_;
+    });
+    // The connection used last is at the end and the least likely to be closed by the server.
+    while (!idle.empty() && now - idle.back().idleSince_ <= limit) {
+        auto candidate = std::move(idle.back());
+        idle.pop_back();
+        if (candidate.connection_.isQuiet()) {
+            return candidate;
+        }
+    }
+    return std::nullopt;
+}
+
+auto BackendPool::keepIdle(const std::string &address, IdleConnection connection) -> void
+{
+    auto &shard = shardOf(address);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &server = shard.servers_[address];
+    if (connection.generation_ == server.generation_ && server.idle_.size() < settings_.maximumIdlePerServer_) {
+        server.idle_.push_back(std::move(connection));
+    }
+}
+
+auto BackendPool::generationOf(const std::string &address) -> std::uint64_t
+{
+    auto &shard = shardOf(address);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    return shard.servers_[address].generation_;
+}
+
+}
--- /dev/null
+++ b/libraries/connection/tcpconnection.cpp
@@ -0,0 +1,243 @@
+#include "connection/tcpconnection.h"
+
+#include "core/clock.h"
+
+#include <absl/strings/numbers.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto readBytes = std::size_t { 16 } * 1024;
+
+// Bounds one poll call, so that a far deadline fits its millisecond argument.
+constexpr auto longestWait = absl::Minutes(10);
+
+// Waits until the socket is ready; false when the deadline has passed.
+auto waitFor(int socket, short events, absl::Time deadline) -> bool
+{
+    while (true) {
+        const auto remaining = std::min(deadline - monotonicNow(), longestWait);
+        if (remaining <= absl::ZeroDuration()) {
+            return false;
+        }
+        auto descriptor = pollfd { socket, events, 0 };
+        const auto milliseconds = static_cast<int>(absl::ToInt64Milliseconds(absl::Ceil(remaining, absl::Milliseconds(1))));
+        const auto ready = poll(&descriptor, 1, milliseconds);
+        if (ready > 0) {
+            return true;
+        }
+        if (ready < 0 && errno != EINTR) {
+            return false;
+        }
+    }
+}
+
+auto parseAddress(const std::string &address, sockaddr_in &parsed) -> bool
+{
+    const auto colon = address.rfind(':');
+    auto port = 0;
+    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port <= 0 || port > 65535) {
+        return false;
+    }
+    parsed.sin_family = AF_INET;
+    parsed.sin_port = htons(static_cast<std::uint16_t>(port));
+    return inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed.sin_addr) == 1;
+}
+
+auto describeErrno(int code) -> std::string
+{
+    auto buffer = std::array<char, 128> {};
+    return strerror_r(code, buffer.data(), buffer.size());
+}
+
+}
+
+TcpConnection::TcpConnection(int socket)
+    : socket_(socket)
+{
+}
+
+TcpConnection::~TcpConnection()
+{
+    close();
+}
+
+TcpConnection::TcpConnection(TcpConnection &&other) noexcept
+    : socket_(std::exchange(other.socket_, -1))
+    , bytesWritten_(other.bytesWritten_)
+    , consumed_(other.consumed_)
+    , buffer_(std::move(other.buffer_))
+{
+}
+
+auto TcpConnection::operator=(TcpConnection &&other) noexcept -> TcpConnection &
+{
+    std::swap(socket_, other.socket_);
+    std::swap(bytesWritten_, other.bytesWritten_);
+    std::swap(consumed_, other.consumed_);
+    std::swap(buffer_, other.buffer_);
+    return *this;
+}
+
+auto TcpConnection::connect(const std::string &address, absl::Time deadline) -> Result<TcpConnection>
+{
+    auto parsed = sockaddr_in {};
+    if (!parseAddress(address, parsed)) {
+        return makeError("connect", address, "the address must be an IPv4 address and a port");
+    }
+    auto connection = TcpConnection(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (connection.socket_ < 0) {
+        return makeError("connect", address, describeErrno(errno));
+    }
+    // A request is written at once, so waiting for more data to send only adds delay.
+    const auto enabled = 1;
+    setsockopt(connection.socket_, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    if (::connect(connection.socket_, reinterpret_cast<const sockaddr *>(&parsed), sizeof(parsed)) == 0) {
+        return connection;
+    }
+    if (errno != EINPROGRESS) {
+        return makeError("connect", address, describeErrno(errno));
+    }
+    if (!waitFor(connection.socket_, POLLOUT, deadline)) {
+        return makeError("connect", address, "no answer in time");
+    }
+    auto code = 0;
+    auto size = socklen_t { sizeof(code) };
+    getsockopt(connection.socket_, SOL_SOCKET, SO_ERROR, &code, &size);
+    if (code != 0) {
+        return makeError("connect", address, describeErrno(code));
+    }
+    return connection;
+}
+
+auto TcpConnection::write(std::string_view data, absl::Time deadline) -> TransferStatus
+{
+    while (!data.empty()) {
+        const auto written = send(socket_, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (written > 0) {
+            bytesWritten_ += static_cast<std::size_t>(written);
+            data.remove_prefix(static_cast<std::size_t>(written));
+            continue;
+        }
+        if (errno == EINTR) {
+            continue;
+        }
+        if (errno != EAGAIN && errno != EWOULDBLOCK) {
+            return TransferStatus::Failed;
+        }
+        if (!waitFor(socket_, POLLOUT, deadline)) {
+            return TransferStatus::TimedOut;
+        }
+    }
+    return TransferStatus::Done;
+}
+
+auto TcpConnection::fill(absl::Time deadline) -> TransferStatus
+{
+    while (true) {
+        // Data that is already there does not excuse a passed deadline: a slow sender would otherwise extend it byte by byte.
+        if (monotonicNow() >= deadline) {
+            return TransferStatus::TimedOut;
+        }
+        const auto status = receive();
+        if (status != TransferStatus::TimedOut) {
+            return status;
+        }
+        if (!waitFor(socket_, POLLIN, deadline)) {
+            return TransferStatus::TimedOut;
+        }
+    }
+}
+
+auto TcpConnection::fillAvailable() -> TransferStatus
+{
+    return receive();
+}
+
+auto TcpConnection::receive() -> TransferStatus
+{
+    if (consumed_ == buffer_.size()) {
+        buffer_.clear();
+        consumed_ = 0;
+    }
+    // Left uninitialised: clearing it would cost more than the read of a small message.
+    std::array<char, readBytes> chunk;
+    while (true) {
+        const auto count = recv(socket_, chunk.data(), chunk.size(), MSG_DONTWAIT);
+        if (count > 0) {
+            buffer_.append(chunk.data(), static_cast<std::size_t>(count));
+            return TransferStatus::Done;
+        }
+        if (count == 0) {
+            return TransferStatus::Closed;
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK) {
+            return TransferStatus::TimedOut;
+        }
+        if (errno != EINTR) {
+            return TransferStatus::Failed;
+        }
+    }
+}
+
+auto TcpConnection::buffered() const -> std::string_view
+{
+    return std::string_view(buffer_).substr(consumed_);
+}
+
+auto TcpConnection::consume(std::size_t bytes) -> void
+{
+    consumed_ = std::min(consumed_ + bytes, buffer_.size());
+}
+
+auto TcpConnection::bytesWritten() const -> std::size_t
+{
+    return bytesWritten_;
+}
+
+auto TcpConnection::isQuiet() const -> bool
+{
+    if (!buffered().empty()) {
+        return false;
+    }
+    auto byte = char { 0 };
+    const auto count = recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+auto TcpConnection::abort() -> void
+{
+    const auto linger = ::linger { 1, 0 };
+    setsockopt(socket_, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    close();
+}
+
+auto TcpConnection::socket() const -> int
+{
+    return socket_;
+}
+
+auto TcpConnection::close() -> void
+{
+    if (socket_ >= 0) {
+        ::close(socket_);
+        socket_ = -1;
+    }
+}
+
+}
--- /dev/null
+++ b/libraries/process/oncekeys.cpp
@@ -0,0 +1,56 @@
+#include "process/oncekeys.h"
+
+#include "core/clock.h"
+
+namespace lycheecleat
+{
+
+OnceKeys::OnceKeys(std::size_t maximumEntries, std::size_t maximumAnswerBytes)
+    : table_(maximumEntries, maximumAnswerBytes)
+{
+}
+
+auto OnceKeys::begin(const OnceRequest &request, absl::Time waitUntil) -> OnceOutcome
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    while (true) {
+        const auto now = monotonicNow();
+        const auto decision = table_.begin(now, request.organisation_, request.key_, request.requestDigest_, request.keepUntil_);
+        if (decision == OnceDecision::Replay) {
+            return { decision, table_.find(request.organisation_, request.key_)->answer_ };
+        }
+        if (decision != OnceDecision::Wait || now >= waitUntil) {
+            return { decision, nullptr };
+        }
+        changed_.WaitWithTimeout(&mutex_, waitUntil - now);
+    }
+}
+
+auto OnceKeys::contains(const OnceRequest &request) const -> bool
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    return table_.find(request.organisation_, request.key_) != nullptr;
+}
+
+auto OnceKeys::finish(const OnceRequest &request, std::shared_ptr<const Answer> answer) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    table_.finish(request.organisation_, request.key_, std::move(answer));
+    changed_.SignalAll();
+}
+
+auto OnceKeys::finishUnknown(const OnceRequest &request) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    table_.finishUnknown(request.organisation_, request.key_);
+    changed_.SignalAll();
+}
+
+auto OnceKeys::forget(const OnceRequest &request) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    table_.forget(request.organisation_, request.key_);
+    changed_.SignalAll();
+}
+
+}
--- /dev/null
+++ b/libraries/process/oncekeys.h
@@ -0,0 +1,55 @@
+/** The table of idempotency keys, with waiting for a request that is running. */
+#pragma once
+
+#include "request/oncetable.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <memory>
+#include <string>
+
+namespace lycheecleat
+{
+
+/** Names one idempotency key and the request that came with it. */
+struct OnceRequest
+{
+    std::string organisation_;
+    std::string key_;
+    std::string requestDigest_;
+    /** Monotonic time until which the key is kept. */
+    absl::Time keepUntil_;
+};
+
+/** A decision with the answer to replay. */
+struct OnceOutcome
+{
+    OnceDecision decision_ = OnceDecision::Execute;
+    std::shared_ptr<const Answer> answer_;
+};
+
+/** Idempotency keys of this run. Thread-safe. */
+class OnceKeys
+{
+public:
+    OnceKeys(std::size_t maximumEntries, std::size_t maximumAnswerBytes);
+
+    /** Decides on a request; while another one with its key is running, waits until the given monotonic time and then returns Wait. */
+    [[nodiscard]] auto begin(const OnceRequest &request, absl::Time waitUntil) -> OnceOutcome;
+
+    /** Whether a key is known, without changing anything. */
+    [[nodiscard]] auto contains(const OnceRequest &request) const -> bool;
+
+    auto finish(const OnceRequest &request, std::shared_ptr<const Answer> answer) -> void;
+    auto finishUnknown(const OnceRequest &request) -> void;
+    auto forget(const OnceRequest &request) -> void;
+
+private:
+    mutable absl::Mutex mutex_;
+    absl::CondVar changed_;
+    OnceTable table_ ABSL_GUARDED_BY(mutex_);
+};
+
+}
--- /dev/null
+++ b/libraries/request/retrybudgettest.cpp
@@ -0,0 +1,22 @@
+#include "request/retrybudget.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheecleat;
+
+// Guards against retries that double the load of a pool that fails every request.
+TEST_CASE("retries stay within a tenth of the requests and the saved-up ones")
+{
+    constexpr auto requests = 1000;
+    auto budget = RetryBudget {};
+    auto retries = 0;
+    for (auto request = 0; request < requests; ++request) {
+        budget = withRequest(budget);
+        if (mayRetry(budget)) {
+            budget = withRetry(budget);
+            ++retries;
+        }
+    }
+    CHECK(retries <= requests * retryShare + maximumSavedRetries);
+    CHECK(retries >= requests * retryShare);
+}
