Add the request handler and the caller server

Cause: callers need one path from their bytes to a whole answer. Change: RequestHandler routes, identifies, gates by knowledge, charges the rate, executes idempotency keys once and answers with outcome and reason. CallerServer keeps idle connections in one epoll set; a thread is taken up only from a whole head to the end of the answer, and requests beyond the limit are refused as not run. Keys without a run token are refused as claim_unavailable until claims are added. The handler has no test yet.

--- /dev/null
+++ b/libraries/connection/backendpooltest.cpp
@@ -0,0 +1,153 @@
+#include "connection/backendpool.h"
+
+#include "connection/scriptedserver.h"
+#include "core/clock.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+constexpr auto wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+struct ResponseCase
+{
+    std::string description_;
+    std::string method_;
+    ScriptedReply reply_;
+    ExchangeStatus expected_;
+    std::string expectedBody_;
+    /** Whether the connection may be used again. */
+    bool kept_;
+};
+
+auto callTo(const ScriptedServer &server, absl::Duration timeout = absl::Milliseconds(300)) -> BackendCall
+{
+    return { server.address(), monotonicNow() + timeout, true };
+}
+
+auto plainRequest(const std::string &method = "GET") -> RequestContent
+{
+    return { method, "/a", { { "Host", "h" } }, "" };
+}
+
+}
+
+// Guards against a cut, undelimited or late response that is passed on as a whole one, and against reuse of a connection after a failure.
+TEST_CASE("only a delimited response is whole")
+{
+    const auto cases = std::vector<ResponseCase> {
+        { "whole", "GET", { wholeResponse }, ExchangeStatus::Whole, "ok", true },
+        { "chunked",
+          "GET",
+          { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1;x\r\nk\r\n0\r\nT: 1\r\n\r\n" },
+          ExchangeStatus::Whole,
+          "ok",
+          true },
+        { "empty", "GET", { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }, ExchangeStatus::Whole, "", true },
+        { "no content", "GET", { "HTTP/1.1 204 No Content\r\n\r\n" }, ExchangeStatus::Whole, "", true },
+        { "not modified", "GET", { "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n" }, ExchangeStatus::Whole, "", true },
+        { "head", "HEAD", { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" }, ExchangeStatus::Whole, "", true },
+        { "informational first", "GET", { std::string("HTTP/1.1 103 Early\r\n\r\n") + wholeResponse }, ExchangeStatus::Whole, "ok", true },
+        { "closing", "GET", { "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok" }, ExchangeStatus::Whole, "ok", false },
+        { "extra bytes", "GET", { std::string(wholeResponse) + "HTTP/1.1 200 OK" }, ExchangeStatus::Whole, "ok", false },
+        { "undelimited", "GET", { "HTTP/1.1 200 OK\r\n\r\nok", absl::ZeroDuration(), true }, ExchangeStatus::Incomplete, "", false },
+        { "cut body", "GET", { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", absl::ZeroDuration(), true }, ExchangeStatus::Incomplete, "", false },
+        { "cut head", "GET", { "HTTP/1.1 200 OK\r\nContent-", absl::ZeroDuration(), true }, ExchangeStatus::Incomplete, "", false },
+        { "cut chunks",
+          "GET",
+          { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", absl::ZeroDuration(), true },
+          ExchangeStatus::Incomplete,
+          "",
+          false },
+        { "two lengths", "GET", { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok" }, ExchangeStatus::Incomplete, "", false },
+        { "not HTTP", "GET", { "hello\r\n\r\n" }, ExchangeStatus::Incomplete, "", false },
+        { "stalled body", "GET", { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok" }, ExchangeStatus::TimedOut, "", false },
+        { "late", "GET", { wholeResponse, absl::Seconds(1) }, ExchangeStatus::TimedOut, "", false },
+        { "ended", "GET", { "", absl::ZeroDuration(), true }, ExchangeStatus::Ended, "", false },
+    };
+    for (const auto &responseCase : cases) {
+        CAPTURE(responseCase.description_);
+        const auto server = ScriptedServer("127.0.0.1", [&](const ScriptedRequest &) {
+            return responseCase.reply_;
+        });
+        auto pool = BackendPool();
+        const auto exchange = pool.exchange(callTo(server), plainRequest(responseCase.method_));
+        CHECK(exchange.status_ == responseCase.expected_);
+        if (exchange.status_ == ExchangeStatus::Whole) {
+            CHECK(exchange.answer_.body_ == responseCase.expectedBody_);
+        }
+        CHECK(pool.idleCount(server.address()) == (responseCase.kept_ ? 1 : 0));
+        CHECK(server.requestCount() == 1);
+    }
+}
+
+// Guards against a connection per request, which costs about a millisecond each.
+TEST_CASE("a connection is used again after a whole response")
+{
+    const auto server = ScriptedServer("127.0.0.1", [](const ScriptedRequest &request) {
+        return ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(request.onConnection_) };
+    });
+    auto pool = BackendPool();
+    CHECK(pool.exchange(callTo(server), plainRequest()).answer_.body_ == "0");
+    const auto second = pool.exchange(callTo(server), plainRequest());
+    CHECK(second.answer_.body_ == "1");
+    CHECK(second.connectionReused_);
+    CHECK(server.connectionCount() == 1);
+}
+
+// Guards against the whole deadline being spent on a connection that has become unresponsive.
+TEST_CASE("a reused connection without a first byte is silent")
+{
+    const auto server = ScriptedServer("127.0.0.1", [](const ScriptedRequest &request) {
+        return ScriptedReply { wholeResponse, request.onConnection_ == 0 ? absl::ZeroDuration() : absl::Seconds(2) };
+    });
+    auto pool = BackendPool();
+    REQUIRE(pool.exchange(callTo(server), plainRequest()).status_ == ExchangeStatus::Whole);
+    auto call = callTo(server, absl::Seconds(2));
+    call.firstByteLimit_ = absl::Milliseconds(50);
+    CHECK(pool.exchange(call, plainRequest()).status_ == ExchangeStatus::Silent);
+    CHECK(pool.exchange(call, plainRequest()).status_ == ExchangeStatus::Whole);
+}
+
+// Guards against a refused connection being reported as a request that may have run.
+TEST_CASE("a refused connection means that nothing was sent")
+{
+    auto address = std::string {};
+    {
+        const auto server = ScriptedServer("127.0.0.1", [](const ScriptedRequest &) {
+            return ScriptedReply {};
+        });
+        address = server.address();
+    }
+    auto pool = BackendPool();
+    const auto exchange = pool.exchange({ address, monotonicNow() + absl::Seconds(1), true }, plainRequest());
+    CHECK(exchange.status_ == ExchangeStatus::NotSent);
+}
+
+// Guards against headers that concern the caller's connection, or a caller's own deadline, reaching the backend server.
+TEST_CASE("the request is sent with its own framing and deadline")
+{
+    const auto server = ScriptedServer("127.0.0.1", [](const ScriptedRequest &) {
+        return ScriptedReply { "HTTP/1.1 200 OK\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\nContent-Length: 2\r\n\r\nok" };
+    });
+    auto pool = BackendPool();
+    const auto request = RequestContent {
+        "POST",
+        "/a?b",
+        { { "Host", "h" }, { "Connection", "X-One" }, { "X-One", "1" }, { "Content-Length", "99" }, { "X-Request-Timeout-Ms", "99999" }, { "X-Two", "2" } },
+        "body",
+    };
+    const auto exchange = pool.exchange(callTo(server), request);
+    CHECK(exchange.answer_.headers_ == HeaderFields { { "X-End", "2" } });
+    const auto received = server.receivedBytes();
+    CHECK(received.find("POST /a?b HTTP/1.1\r\nHost: h\r\nX-Two: 2\r\nContent-Length: 4\r\nX-Request-Timeout-Ms: ") == 0);
+    CHECK(received.find("X-One") == std::string::npos);
+    CHECK(received.find("99999") == std::string::npos);
+    CHECK(received.find("\r\n\r\nbody") != std::string::npos);
+}
--- /dev/null
+++ b/libraries/connection/scriptedserver.h
@@ -0,0 +1,165 @@
+/** A backend server for tests that answers with exactly the given bytes. */
+#pragma once
+
+#include "connection/httpmessage.h"
+#include "connection/tcpconnection.h"
+#include "core/clock.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/clock.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** What a scripted server does with a request. */
+struct ScriptedReply
+{
+    std::string bytes_;
+    absl::Duration delay_ = absl::ZeroDuration();
+    /** Closes the connection after the bytes. */
+    bool close_ = false;
+};
+
+/** One request as it arrived. */
+struct ScriptedRequest
+{
+    std::string head_;
+    std::string body_;
+    /** Number of the request on its connection, from 0. */
+    int onConnection_ = 0;
+    /** Number of the request on the server, from 0. */
+    int onServer_ = 0;
+};
+
+/** Accepts connections until it is destroyed; each connection has a thread. */
+class ScriptedServer
+{
+public:
+    using Script = std::function<ScriptedReply(const ScriptedRequest &)>;
+
+    ScriptedServer(const std::string &ip, Script script)
+        : script_(std::move(script))
+    {
+        auto address = sockaddr_in {};
+        address.sin_family = AF_INET;
+        inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+        listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        listen(listener_, 64);
+        auto size = socklen_t { sizeof(address) };
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+        address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
+        acceptor_ = std::thread([this] {
+            accept();
+        });
+    }
+
+    ~ScriptedServer()
+    {
+        ended_ = true;
+        shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        for (auto &thread : threads_) {
+            thread.join();
+        }
+        ::close(listener_);
+    }
+
+    ScriptedServer(const ScriptedServer &) = delete;
+    auto operator=(const ScriptedServer &) -> ScriptedServer & = delete;
+
+    [[nodiscard]] auto address() const -> const std::string &
+    {
+        return address_;
+    }
+
+    /** Requests received so far. */
+    [[nodiscard]] auto requestCount() const -> int
+    {
+        return requests_;
+    }
+
+    /** Connections accepted so far. */
+    [[nodiscard]] auto connectionCount() const -> int
+    {
+        return connections_;
+    }
+
+    /** Every byte received so far. */
+    [[nodiscard]] auto receivedBytes() const -> std::string
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        return received_;
+    }
+
+private:
+    auto accept() -> void
+    {
+        while (!ended_) {
+            const auto socket = accept4(listener_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+            if (socket < 0) {
+                return;
+            }
+            connections_ += 1;
+            threads_.emplace_back([this, socket] {
+                serve(TcpConnection(socket));
+            });
+        }
+    }
+
+    auto serve(TcpConnection connection) -> void
+    {
+        for (auto number = 0; !ended_; ++number) {
+            auto head = MessageHead {};
+            auto status = MessageStatus::TimedOut;
+            while (!ended_ && status == MessageStatus::TimedOut) {
+                status = readHead(connection, 1 << 20, monotonicNow() + absl::Milliseconds(20), head);
+            }
+            if (status != MessageStatus::Whole) {
+                return;
+            }
+            auto request = ScriptedRequest { head.firstLine_ + "\r\n", "", number, requests_.fetch_add(1) };
+            appendHeaders(request.head_, head.headers_);
+            const auto framing = bodyFraming(head.headers_).value_or(BodyFraming {});
+            static_cast<void>(readBody(connection, framing, 1 << 24, monotonicNow() + absl::Seconds(5), request.body_));
+            {
+                const auto lock = absl::MutexLock(&mutex_);
+                received_ += request.head_ + request.body_;
+            }
+            const auto reply = script_(request);
+            const auto replyAt = monotonicNow() + reply.delay_;
+            while (!ended_ && monotonicNow() < replyAt) {
+                absl::SleepFor(absl::Milliseconds(2));
+            }
+            if (connection.write(reply.bytes_, monotonicNow() + absl::Seconds(5)) != TransferStatus::Done || reply.close_) {
+                return;
+            }
+        }
+    }
+
+    Script script_;
+    int listener_ = -1;
+    std::string address_;
+    std::atomic<bool> ended_ = false;
+    std::atomic<int> requests_ = 0;
+    std::atomic<int> connections_ = 0;
+    std::thread acceptor_;
+    std::vector<std::thread> threads_;
+    mutable absl::Mutex mutex_;
+    std::string received_ ABSL_GUARDED_BY(mutex_);
+};
+
+}
--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -220,6 +220,11 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+auto TcpConnection::finishWriting() -> void
+{
+    shutdown(socket_, SHUT_WR);
+}
+
 auto TcpConnection::abort() -> void
 {
     const auto linger = ::linger { 1, 0 };
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -58,6 +58,9 @@
     /** Whether the connection is open with nothing to read: a closed one, or one with unexpected bytes, must not be reused. */
     [[nodiscard]] auto isQuiet() const -> bool;
 
+    /** Ends the sending side only. Closing a socket with unread data would reset it, and the other side would lose what was written. */
+    auto finishWriting() -> void;
+
     /** Closes the socket with a reset, so that the other side learns at once that nobody waits for its answer. */
     auto abort() -> void;
 
--- /dev/null
+++ b/libraries/process/callerserver.cpp
@@ -0,0 +1,506 @@
+#include "process/callerserver.h"
+
+#include "connection/httpmessage.h"
+#include "connection/tcpconnection.h"
+#include "core/clock.h"
+#include "process/requesthandler.h"
+#include "request/refusal.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/numbers.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+// Connection bursts of all callers at once must fit; the kernel lowers it to its own limit.
+constexpr auto listenBacklog = 4096;
+
+// Threads that answer requests beyond the limit; each answer takes microseconds.
+constexpr auto sheddingThreads = 2;
+
+constexpr auto listenerId = std::uint64_t { 0 };
+constexpr auto wakeId = std::uint64_t { 1 };
+constexpr auto firstConnectionId = std::uint64_t { 2 };
+
+constexpr auto shardCount = std::size_t { 16 };
+
+constexpr auto housekeepingInterval = absl::Milliseconds(250);
+
+// How long a caller has to close its end after the last answer.
+constexpr auto lingerTimeout = absl::Seconds(1);
+
+constexpr auto noContentStatus = 204;
+constexpr auto notModifiedStatus = 304;
+
+/** A caller's connection. */
+struct CallerConnection
+{
+    TcpConnection connection_;
+    std::string remoteAddress_;
+    /** Time of the last answer, or of the first byte of a head that is not whole yet. */
+    absl::Time waitingSince_;
+    bool headBegun_ = false;
+    /** The last answer has been written; what still arrives is dropped until the caller closes. */
+    bool ending_ = false;
+};
+
+/** How serving a connection's next request ended. */
+enum class Next {
+    /** Wait for more bytes. */
+    Wait,
+    /** Another request may be buffered already. */
+    Continue,
+    /** Wait until the caller has received the last answer. */
+    Linger,
+    Close,
+};
+
+auto formatResponse(const httplib::Response &response, const std::string &method, bool close) -> std::string
+{
+    auto headers = HeaderFields {};
+    auto hasLength = false;
+    const auto bodyless = response.status == noContentStatus || response.status == notModifiedStatus;
+    const auto isHead = method == "HEAD";
+    for (const auto &[name, value] : response.headers) {
+        const auto isLength = equalIgnoringCase(name, "content-length");
+        if (isLength && !isHead && response.status != notModifiedStatus) {
+            continue;
+        }
+        hasLength = hasLength || isLength;
+        headers.push_back({ name, value });
+    }
+    if (!hasLength && !bodyless) {
+        headers.push_back({ "Content-Length", std::to_string(response.body.size()) });
+    }
+    if (close) {
+        headers.push_back({ "Connection", "close" });
+    }
+    auto text = "HTTP/1.1 " + std::to_string(response.status) + " " + std::string(reasonPhrase(response.status)) + "\r\n";
+    appendHeaders(text, headers);
+    if (!bodyless && !isHead) {
+        text += response.body;
+    }
+    return text;
+}
+
+auto requestOf(const RequestLine &line, const MessageHead &head, const std::string &remoteAddress) -> httplib::Request
+{
+    auto request = httplib::Request {};
+    request.method = line.method_;
+    request.target = line.target_;
+    request.path = percentDecoded(pathOfTarget(line.target_));
+    request.version = line.minorVersion_ == 1 ? "HTTP/1.1" : "HTTP/1.0";
+    request.remote_addr = remoteAddress;
+    for (const auto &header : head.headers_) {
+        request.headers.emplace(header.name_, header.value_);
+    }
+    return request;
+}
+
+auto expectsContinue(const HeaderFields &headers) -> bool
+{
+    return equalIgnoringCase(headerValue(headers, "expect"), "100-continue");
+}
+
+auto addressText(const sockaddr_in &address) -> std::string
+{
+    auto buffer = std::array<char, INET_ADDRSTRLEN> {};
+    inet_ntop(AF_INET, &address.sin_addr, buffer.data(), buffer.size());
+    return buffer.data();
+}
+
+}
+
+struct CallerServer::State
+{
+    struct Shard
+    {
+        absl::Mutex mutex_;
+        absl::flat_hash_map<std::uint64_t, std::unique_ptr<CallerConnection>> waiting_ ABSL_GUARDED_BY(mutex_);
+    };
+
+    State(CallerServerSettings settings, CallerFunctions functions);
+    ~State();
+
+    auto bind() -> Result<void>;
+    auto work() -> void;
+    auto keepHouse() -> void;
+    auto acceptAll() -> void;
+    auto park(std::uint64_t id, std::unique_ptr<CallerConnection> connection, bool isNew) -> void;
+    auto take(std::uint64_t id) -> std::unique_ptr<CallerConnection>;
+    auto serveConnection(std::uint64_t id) -> void;
+    auto serveNext(CallerConnection &connection) -> Next;
+    auto discard(CallerConnection &connection) -> Next;
+    auto serveHead(CallerConnection &connection, const MessageHead &head) -> Next;
+    auto readRequestBody(CallerConnection &connection, const MessageHead &head, const BodyFraming &framing, httplib::Request &request)
+        -> std::optional<Refusal>;
+    auto answer(CallerConnection &connection, const std::string &method, const httplib::Response &response, bool close) -> Next;
+    auto refuse(CallerConnection &connection, Refusal refusal) -> Next;
+    auto limitOf(const CallerConnection &connection) const -> absl::Duration;
+    auto closeWaiting(absl::Time now, bool allQuiet) -> void;
+
+    CallerServerSettings settings_;
+    CallerFunctions functions_;
+    std::atomic<int> listener_ = -1;
+    int epoll_ = -1;
+    int wake_ = -1;
+    int port_ = 0;
+    std::array<Shard, shardCount> shards_;
+    std::atomic<std::uint64_t> nextId_ = firstConnectionId;
+    std::atomic<std::size_t> connections_ = 0;
+    std::atomic<int> busy_ = 0;
+    std::atomic<bool> draining_ = false;
+    std::atomic<bool> ended_ = false;
+    absl::Notification housekeepingEnds_;
+    std::vector<std::thread> threads_;
+    std::thread housekeeper_;
+};
+
+CallerServer::State::State(CallerServerSettings settings, CallerFunctions functions)
+    : settings_(std::move(settings))
+    , functions_(std::move(functions))
+{
+}
+
+CallerServer::State::~State()
+{
+    for (const auto descriptor : { listener_.load(), epoll_, wake_ }) {
+        if (descriptor >= 0) {
+            ::close(descriptor);
+        }
+    }
+}
+
+auto CallerServer::State::bind() -> Result<void>
+{
+    const auto colon = settings_.address_.rfind(':');
+    auto requestedPort = 0;
+    auto address = sockaddr_in {};
+    address.sin_family = AF_INET;
+    const auto parsed = colon != std::string::npos && absl::SimpleAtoi(settings_.address_.substr(colon + 1), &requestedPort)
+        && inet_pton(AF_INET, settings_.address_.substr(0, colon).c_str(), &address.sin_addr) == 1;
+    if (!parsed) {
+        return makeError("listen for callers", settings_.address_, "the address must be an IPv4 address and a port");
+    }
+    address.sin_port = htons(static_cast<std::uint16_t>(requestedPort));
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const auto enabled = 1;
+    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    if (::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || listen(listener_, listenBacklog) != 0) {
+        return makeError("listen for callers", settings_.address_, std::generic_category().message(errno));
+    }
+    auto size = socklen_t { sizeof(address) };
+    getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
+    port_ = ntohs(address.sin_port);
+    epoll_ = epoll_create1(EPOLL_CLOEXEC);
+    wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    auto listenEvent = epoll_event { EPOLLIN | EPOLLEXCLUSIVE, { .u64 = listenerId } };
+    auto wakeEvent = epoll_event { EPOLLIN, { .u64 = wakeId } };
+    if (epoll_ctl(epoll_, EPOLL_CTL_ADD, listener_, &listenEvent) != 0 || epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &wakeEvent) != 0) {
+        return makeError("listen for callers", settings_.address_, std::generic_category().message(errno));
+    }
+    return {};
+}
+
+auto CallerServer::State::work() -> void
+{
+    while (!ended_) {
+        auto event = epoll_event {};
+        const auto ready = epoll_wait(epoll_, &event, 1, -1);
+        if (ready <= 0 || event.data.u64 == wakeId) {
+            continue;
+        }
+        if (event.data.u64 == listenerId) {
+            acceptAll();
+            continue;
+        }
+        serveConnection(event.data.u64);
+    }
+}
+
+auto CallerServer::State::acceptAll() -> void
+{
+    while (true) {
+        auto address = sockaddr_in {};
+        auto size = socklen_t { sizeof(address) };
+        const auto socket = accept4(listener_, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (socket < 0) {
+            return;
+        }
+        auto connection = std::make_unique<CallerConnection>(CallerConnection { TcpConnection(socket), addressText(address), monotonicNow() });
+        if (connections_.load() >= settings_.maximumConnections_) {
+            continue;
+        }
+        const auto enabled = 1;
+        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+        connections_ += 1;
+        park(nextId_.fetch_add(1), std::move(connection), true);
+    }
+}
+
+// Registers the connection before the event can come, and under the lock, so that it cannot be closed in between.
+auto CallerServer::State::park(std::uint64_t id, std::unique_ptr<CallerConnection> connection, bool isNew) -> void
+{
+    auto &shard = shards_[id % shardCount];
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    const auto socket = connection->connection_.socket();
+    shard.waiting_[id] = std::move(connection);
+    auto event = epoll_event { EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, { .u64 = id } };
+    epoll_ctl(epoll_, isNew ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
+}
+
+auto CallerServer::State::take(std::uint64_t id) -> std::unique_ptr<CallerConnection>
+{
+    auto &shard = shards_[id % shardCount];
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    const auto found = shard.waiting_.find(id);
+    if (found == shard.waiting_.end()) {
+        return nullptr;
+    }
+    auto connection = std::move(found->second);
+    shard.waiting_.erase(found);
+    return connection;
+}
+
+auto CallerServer::State::serveConnection(std::uint64_t id) -> void
+{
+    busy_ += 1;
+    auto connection = take(id);
+    auto next = connection ? Next::Continue : Next::Close;
+    while (next == Next::Continue) {
+        next = connection->ending_ ? discard(*connection) : serveNext(*connection);
+    }
+    if (next == Next::Linger) {
+        connection->ending_ = true;
+        next = Next::Wait;
+    }
+    if (next == Next::Wait) {
+        park(id, std::move(connection), false);
+    } else if (connection) {
+        connection.reset();
+        connections_ -= 1;
+    }
+    busy_ -= 1;
+}
+
+auto CallerServer::State::discard(CallerConnection &connection) -> Next
+{
+    auto &socket = connection.connection_;
+    auto status = TransferStatus::Done;
+    while (status == TransferStatus::Done) {
+        socket.consume(socket.buffered().size());
+        status = socket.fillAvailable();
+    }
+    return status == TransferStatus::TimedOut ? Next::Wait : Next::Close;
+}
+
+// Reads what has arrived and serves one request if its head is whole. A head that is not whole takes up no thread.
+auto CallerServer::State::serveNext(CallerConnection &connection) -> Next
+{
+    auto &socket = connection.connection_;
+    while (true) {
+        while (socket.buffered().substr(0, 2) == "\r\n") {
+            socket.consume(2);
+        }
+        const auto buffered = socket.buffered();
+        if (buffered.find("\r\n\r\n") != std::string_view::npos || buffered.size() > settings_.maximumHead_) {
+            break;
+        }
+        const auto begun = !buffered.empty();
+        if (begun && !connection.headBegun_) {
+            connection.headBegun_ = true;
+            connection.waitingSince_ = monotonicNow();
+        }
+        const auto status = socket.fillAvailable();
+        if (status == TransferStatus::TimedOut) {
+            return Next::Wait;
+        }
+        if (status != TransferStatus::Done) {
+            return begun && status == TransferStatus::Closed ? refuse(connection, Refusal::MalformedRequest) : Next::Close;
+        }
+    }
+    auto head = MessageHead {};
+    if (readHead(socket, settings_.maximumHead_, monotonicNow() + settings_.readTimeout_, head) != MessageStatus::Whole) {
+        return refuse(connection, Refusal::MalformedRequest);
+    }
+    const auto next = serveHead(connection, head);
+    connection.headBegun_ = false;
+    connection.waitingSince_ = monotonicNow();
+    return next;
+}
+
+auto CallerServer::State::serveHead(CallerConnection &connection, const MessageHead &head) -> Next
+{
+    const auto line = parseRequestLine(head.firstLine_);
+    const auto framing = bodyFraming(head.headers_);
+    if (!line || !framing) {
+        return refuse(connection, Refusal::MalformedRequest);
+    }
+    auto request = requestOf(*line, head, connection.remoteAddress_);
+    auto response = httplib::Response {};
+    const auto close = closesConnection(head.headers_, line->minorVersion_);
+    if (pathOfTarget(line->target_) == lookupPath && !framing->chunked_ && framing->length_.value_or(0) == 0) {
+        functions_.lookup_(request, response);
+        return answer(connection, line->method_, response, close);
+    }
+    if (busy_.load() > settings_.maximumRequests_) {
+        return refuse(connection, Refusal::Overloaded);
+    }
+    const auto unread = readRequestBody(connection, head, *framing, request);
+    if (unread) {
+        return refuse(connection, *unread);
+    }
+    functions_.handle_(request, response);
+    return answer(connection, line->method_, response, close);
+}
+
+auto CallerServer::State::readRequestBody(CallerConnection &connection, const MessageHead &head, const BodyFraming &framing, httplib::Request &request)
+    -> std::optional<Refusal>
+{
+    if (!framing.chunked_ && framing.length_.value_or(0) == 0) {
+        return std::nullopt;
+    }
+    const auto limit = functions_.bodyLimit_(request);
+    if (framing.length_.value_or(0) > limit) {
+        return Refusal::BodyTooLarge;
+    }
+    const auto deadline = monotonicNow() + settings_.readTimeout_;
+    if (expectsContinue(head.headers_) && connection.connection_.write("HTTP/1.1 100 Continue\r\n\r\n", deadline) != TransferStatus::Done) {
+        return Refusal::MalformedRequest;
+    }
+    const auto status = readBody(connection.connection_, framing, limit, deadline, request.body);
+    if (status == MessageStatus::BodyTooLarge) {
+        return Refusal::BodyTooLarge;
+    }
+    return status == MessageStatus::Whole ? std::nullopt : std::optional(Refusal::MalformedRequest);
+}
+
+auto CallerServer::State::answer(CallerConnection &connection, const std::string &method, const httplib::Response &response, bool close) -> Next
+{
+    const auto closes = close || draining_;
+    const auto text = formatResponse(response, method, closes);
+    const auto written = connection.connection_.write(text, monotonicNow() + settings_.writeTimeout_);
+    if (written != TransferStatus::Done) {
+        return Next::Close;
+    }
+    if (!closes) {
+        return Next::Continue;
+    }
+    connection.connection_.finishWriting();
+    return Next::Linger;
+}
+
+// The rest of the request has not been read, so the connection cannot be used again.
+auto CallerServer::State::refuse(CallerConnection &connection, Refusal refusal) -> Next
+{
+    auto response = httplib::Response {};
+    setRefusal(response, refusal, "");
+    return answer(connection, "GET", response, true);
+}
+
+auto CallerServer::State::limitOf(const CallerConnection &connection) const -> absl::Duration
+{
+    if (connection.ending_) {
+        return lingerTimeout;
+    }
+    return connection.headBegun_ ? settings_.readTimeout_ : settings_.idleTimeout_;
+}
+
+// Closes connections that have waited for too long, and with allQuiet every one that has nothing to read.
+auto CallerServer::State::closeWaiting(absl::Time now, bool allQuiet) -> void
+{
+    for (auto &shard : shards_) {
+        const auto lock = absl::MutexLock(&shard.mutex_);
+        connections_ -= absl::erase_if(shard.waiting_, [&](const auto &item) {
+            const auto &connection = *item.second;
+            return now - connection.waitingSince_ > limitOf(connection) || (allQuiet && connection.connection_.isQuiet());
+        });
+    }
+}
+
+auto CallerServer::State::keepHouse() -> void
+{
+    while (!housekeepingEnds_.WaitForNotificationWithTimeout(housekeepingInterval)) {
+        closeWaiting(monotonicNow(), false);
+    }
+}
+
+CallerServer::CallerServer(CallerServerSettings settings, CallerFunctions functions)
+    : state_(std::make_unique<State>(std::move(settings), std::move(functions)))
+{
+}
+
+CallerServer::~CallerServer()
+{
+    stop();
+}
+
+auto CallerServer::start() -> Result<void>
+{
+    BOOST_LEAF_CHECK(state_->bind());
+    const auto threads = state_->settings_.maximumRequests_ + sheddingThreads;
+    for (auto index = 0; index < threads; ++index) {
+        state_->threads_.emplace_back([state = state_.get()] {
+            state->work();
+        });
+    }
+    state_->housekeeper_ = std::thread([state = state_.get()] {
+        state->keepHouse();
+    });
+    return {};
+}
+
+auto CallerServer::port() const -> int
+{
+    return state_->port_;
+}
+
+auto CallerServer::stop() -> void
+{
+    if (state_->threads_.empty() || state_->draining_.exchange(true)) {
+        return;
+    }
+    // Connections that wait in the backlog were accepted by the kernel and are served.
+    epoll_ctl(state_->epoll_, EPOLL_CTL_DEL, state_->listener_, nullptr);
+    state_->acceptAll();
+    ::close(state_->listener_.exchange(-1));
+    const auto graceEnds = monotonicNow() + state_->settings_.stopGrace_;
+    while (state_->connections_ > 0 && monotonicNow() < graceEnds) {
+        absl::SleepFor(absl::Milliseconds(5));
+    }
+    while (state_->connections_ > 0) {
+        state_->closeWaiting(monotonicNow(), true);
+        absl::SleepFor(absl::Milliseconds(5));
+    }
+    state_->ended_ = true;
+    const auto one = std::uint64_t { 1 };
+    static_cast<void>(::write(state_->wake_, &one, sizeof(one)));
+    for (auto &thread : state_->threads_) {
+        thread.join();
+    }
+    state_->housekeepingEnds_.Notify();
+    state_->housekeeper_.join();
+}
+
+}
--- /dev/null
+++ b/libraries/process/requesthandler.cpp
@@ -0,0 +1,511 @@
+#include "process/requesthandler.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+#include "process/dispatcher.h"
+#include "process/keyindex.h"
+#include "process/oncekeys.h"
+#include "request/credentials.h"
+#include "request/refusal.h"
+#include "request/requestpath.h"
+#include "request/runtoken.h"
+#include "version/routetable.h"
+
+#include <absl/strings/numbers.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto requestIdHeader = "X-Request-Id";
+constexpr auto idempotencyHeader = "Idempotency-Key";
+constexpr auto timeoutHeader = "X-Request-Timeout-Ms";
+
+// Each key costs about 200 bytes beside its answer; a host at 1,000 keyed writes a second fills this in three minutes.
+constexpr auto maximumOnceKeys = std::size_t { 200'000 };
+constexpr auto maximumOnceBytes = std::size_t { 64 } * 1024 * 1024;
+
+// Callers may resend for a while after the token's expiry; the answer is kept for them.
+constexpr auto tokenRetention = absl::Minutes(10);
+
+constexpr auto retryAfterSeconds = "1";
+
+/** Everything that becomes known about one request on its way. */
+struct RequestState
+{
+    ConfigurationPointer configuration_;
+    std::string requestId_;
+    absl::Time receivedAt_;
+    absl::Time deadline_;
+    const Route *route_ = nullptr;
+    std::string organisation_;
+    std::string keyName_;
+    KnowledgeState knowledge_ = KnowledgeState::Fresh;
+    /** The request with its keys, for the host that owns its idempotency key. */
+    RequestContent original_;
+    /** The request without keys. */
+    RequestContent content_;
+    bool repeatable_ = true;
+    /** The run that a forwarding peer addressed; absent for a caller's own request. */
+    std::optional<std::string> addressedRun_;
+    /** Values for the log line. */
+    DispatchResult dispatched_;
+    bool replayed_ = false;
+    bool forwarded_ = false;
+};
+
+/** What a caller is told: an answer, or a refusal. */
+using Served = std::variant<Answer, Refusal>;
+
+auto isSafeMethod(const std::string &method) -> bool
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+auto isOutcomeHeader(const std::string &name) -> bool
+{
+    return equalIgnoringCase(name, outcomeHeader) || equalIgnoringCase(name, reasonHeader);
+}
+
+auto contentOf(const httplib::Request &request) -> RequestContent
+{
+    auto content = RequestContent { request.method, request.target, {}, request.body };
+    for (const auto &[name, value] : request.headers) {
+        content.headers_.push_back({ name, value });
+    }
+    return content;
+}
+
+auto contentOf(const peer::ForwardedRequest &request) -> RequestContent
+{
+    auto content = RequestContent { request.method, request.target, {}, request.body };
+    for (const auto &header : request.headers) {
+        content.headers_.push_back({ header.name, header.value });
+    }
+    return content;
+}
+
+auto answerOf(const peer::ForwardedAnswer &forwarded) -> Answer
+{
+    auto answer = Answer { forwarded.status, {}, forwarded.body };
+    for (const auto &header : forwarded.headers) {
+        answer.headers_.push_back({ header.name, header.value });
+    }
+    return answer;
+}
+
+// The answer of a backend server or of another host, with the outcome set here unless it comes from another host.
+auto answerForCaller(Answer answer, const RequestState &state) -> Answer
+{
+    if (!state.forwarded_) {
+        std::erase_if(answer.headers_, [](const HeaderField &header) {
+            return isOutcomeHeader(header.name_);
+        });
+        answer.headers_.push_back({ outcomeHeader, std::string(outcomeName(Outcome::Ran)) });
+    }
+    if (headerCount(answer.headers_, requestIdHeader) == 0) {
+        answer.headers_.push_back({ requestIdHeader, state.requestId_ });
+    }
+    return answer;
+}
+
+auto refusalAnswer(Refusal refusal, const std::string &requestId) -> Answer
+{
+    const auto &description = describeRefusal(refusal);
+    auto answer = Answer { description.status_, {}, refusalBody(refusal, requestId) };
+    answer.headers_.push_back({ "Content-Type", "application/json" });
+    answer.headers_.push_back({ outcomeHeader, std::string(outcomeName(description.outcome_)) });
+    answer.headers_.push_back({ reasonHeader, std::string(description.name_) });
+    answer.headers_.push_back({ requestIdHeader, requestId });
+    if (refusal == Refusal::RateExceeded) {
+        answer.headers_.push_back({ "Retry-After", retryAfterSeconds });
+    }
+    return answer;
+}
+
+auto setAnswer(httplib::Response &response, Answer answer) -> void
+{
+    response.status = answer.status_;
+    response.headers.clear();
+    for (auto &header : answer.headers_) {
+        response.headers.emplace(std::move(header.name_), std::move(header.value_));
+    }
+    response.body = std::move(answer.body_);
+}
+
+// The route's deadline, or an earlier one that the caller states.
+auto deadlineOf(const RequestState &state) -> absl::Time
+{
+    auto limit = state.route_->deadline_;
+    auto milliseconds = std::int64_t { 0 };
+    if (absl::SimpleAtoi(headerValue(state.content_.headers_, timeoutHeader), &milliseconds) && milliseconds > 0) {
+        limit = std::min(limit, absl::Milliseconds(milliseconds));
+    }
+    return std::min(state.receivedAt_ + limit, state.deadline_);
+}
+
+auto digestOf(const RequestContent &content) -> std::string
+{
+    // Lengths keep different requests from having one text.
+    return sha256Hex(fmt::format("{} {} {} {}\n", content.method_, content.target_.size(), content.target_, content.body_.size()) + content.body_);
+}
+
+auto logLevelOf(const std::optional<Refusal> &refusal) -> LogLevel
+{
+    return refusal && describeRefusal(*refusal).outcome_ == Outcome::Unknown ? LogLevel::Warning : LogLevel::Info;
+}
+
+}
+
+struct RequestHandler::State
+{
+    explicit State(RequestServices services);
+
+    auto serve(RequestState &state) -> Served;
+    auto findRouteOf(RequestState &state) const -> std::optional<Refusal>;
+    auto identify(RequestState &state) -> std::optional<Refusal>;
+    auto organisationOf(RequestState &state, const std::string &key) -> std::optional<Refusal>;
+    auto serveOnce(RequestState &state) -> Served;
+    auto serveTokened(RequestState &state, const IdempotencyKey &key) -> Served;
+    auto serveClaimed(RequestState &state, const IdempotencyKey &key) -> Served;
+    auto forward(RequestState &state, const RunToken &token) -> Served;
+    auto runOnce(RequestState &state, const OnceRequest &once, std::function<std::optional<Refusal>()> beforeSend) -> Served;
+    auto run(RequestState &state, std::function<std::optional<Refusal>()> beforeSend) -> Served;
+    auto answerTo(RequestState &state) -> Answer;
+    auto log(const RequestState &state, const Answer &answer, const std::optional<Refusal> &refusal) const -> void;
+    auto nextRequestId() -> std::string;
+
+    RequestServices services_;
+    Dispatcher dispatcher_;
+    KeyIndexCache keys_;
+    OnceKeys once_;
+    std::atomic<std::uint64_t> requestCount_ = 0;
+    std::atomic<int> inFlight_ = 0;
+};
+
+RequestHandler::State::State(RequestServices services)
+    : services_(std::move(services))
+    , dispatcher_(services_.shares_)
+    , once_(maximumOnceKeys, maximumOnceBytes)
+{
+}
+
+auto RequestHandler::State::nextRequestId() -> std::string
+{
+    return fmt::format("{}-{:x}", services_.run_, requestCount_.fetch_add(1, std::memory_order_relaxed));
+}
+
+auto RequestHandler::State::findRouteOf(RequestState &state) const -> std::optional<Refusal>
+{
+    if (state.configuration_->revision_ == 0) {
+        return Refusal::NoConfiguration;
+    }
+    const auto path = routingPath(state.content_.target_);
+    if (!path || headerCount(state.content_.headers_, "host") != 1) {
+        return Refusal::MalformedRequest;
+    }
+    state.route_ = findRoute(*state.configuration_, headerValue(state.content_.headers_, "host"), *path);
+    if (state.route_ == nullptr) {
+        return Refusal::NoRoute;
+    }
+    if (state.content_.body_.size() > state.route_->bodyLimit_) {
+        return Refusal::BodyTooLarge;
+    }
+    state.deadline_ = deadlineOf(state);
+    state.repeatable_ = state.route_->repeatable_ || isSafeMethod(state.content_.method_);
+    return std::nullopt;
+}
+
+// Finds the organisation and removes the keys from the request. On open routes as well, no key may reach a backend server.
+auto RequestHandler::State::identify(RequestState &state) -> std::optional<Refusal>
+{
+    auto credentials = takeCredentials(std::move(state.content_));
+    state.content_ = std::move(credentials.content_);
+    if (credentials.keys_.size() > 1) {
+        return Refusal::KeyAmbiguous;
+    }
+    if (!credentials.keys_.empty() && containsKey(state.content_, credentials.keys_.front())) {
+        return Refusal::KeyInContent;
+    }
+    if (state.route_->access_ == Access::Open) {
+        return std::nullopt;
+    }
+    if (credentials.keys_.empty()) {
+        return Refusal::KeyMissing;
+    }
+    state.knowledge_ = services_.knowledge_->stateAt(state.receivedAt_, *state.configuration_);
+    if (state.knowledge_ == KnowledgeState::Isolated && state.route_->isolation_ == Isolation::Refuse) {
+        return Refusal::KnowledgeStale;
+    }
+    return organisationOf(state, credentials.keys_.front());
+}
+
+auto RequestHandler::State::organisationOf(RequestState &state, const std::string &key) -> std::optional<Refusal>
+{
+    const auto digest = hmacHex(services_.secret_, key);
+    const auto index = keys_.get(state.configuration_);
+    const auto found = index->keys_.find(digest);
+    if (found == index->keys_.end()) {
+        return Refusal::KeyUnknown;
+    }
+    state.keyName_ = found->second->name_;
+    if (!found->second->active_ || services_.knowledge_->isWithdrawn(digest)) {
+        return Refusal::KeyWithdrawn;
+    }
+    state.organisation_ = found->second->organisation_;
+    return std::nullopt;
+}
+
+auto RequestHandler::State::serve(RequestState &state) -> Served
+{
+    const auto unroutable = findRouteOf(state);
+    if (unroutable) {
+        return *unroutable;
+    }
+    if (!state.repeatable_) {
+        state.original_ = state.content_;
+    }
+    const auto unidentified = identify(state);
+    if (unidentified) {
+        return *unidentified;
+    }
+    return state.repeatable_ ? run(state, nullptr) : serveOnce(state);
+}
+
+auto RequestHandler::State::serveOnce(RequestState &state) -> Served
+{
+    if (headerCount(state.content_.headers_, idempotencyHeader) == 0) {
+        return Refusal::IdempotencyKeyRequired;
+    }
+    auto key = attempt([&] {
+        return parseIdempotencyKey(headerValue(state.content_.headers_, idempotencyHeader), services_.secret_);
+    });
+    if (std::holds_alternative<Error>(key) || headerCount(state.content_.headers_, idempotencyHeader) > 1) {
+        return Refusal::IdempotencyKeyInvalid;
+    }
+    const auto &parsed = std::get<IdempotencyKey>(key);
+    return parsed.token_ ? serveTokened(state, parsed) : serveClaimed(state, parsed);
+}
+
+auto RequestHandler::State::serveTokened(RequestState &state, const IdempotencyKey &key) -> Served
+{
+    const auto &token = *key.token_;
+    const auto isOwn = token.host_ == services_.hostName_ && token.run_ == services_.run_;
+    if (!isOwn) {
+        // A forwarded request that names another run was addressed to an earlier run of this host.
+        return token.host_ == services_.hostName_ || state.addressedRun_ ? Served { Refusal::RunEnded } : forward(state, token);
+    }
+    const auto wallTime = wallNow();
+    const auto keepUntil = state.receivedAt_ + (token.expiry_ - wallTime) + tokenRetention;
+    const auto once = OnceRequest { state.organisation_, key.text_, digestOf(state.content_), keepUntil };
+    // A key that is not known after the expiry may have run and been forgotten, so its outcome is unknown.
+    if (wallTime > token.expiry_ && !once_.contains(once)) {
+        return Refusal::RunEnded;
+    }
+    return runOnce(state, once, nullptr);
+}
+
+auto RequestHandler::State::serveClaimed(RequestState & /*state*/, const IdempotencyKey & /*key*/) -> Served
+{
+    // FIXME: claim the key in the store.
+    return Refusal::ClaimUnavailable;
+}
+
+auto RequestHandler::State::forward(RequestState &state, const RunToken &token) -> Served
+{
+    const auto *host = findByName(state.configuration_->entryHosts_, token.host_);
+    if (host == nullptr) {
+        return Refusal::RunEnded;
+    }
+    const auto remaining = state.deadline_ - monotonicNow();
+    auto request = peer::ForwardedRequest {};
+    request.run = token.run_;
+    request.method = state.original_.method_;
+    request.target = state.original_.target_;
+    request.body = state.original_.body_;
+    request.timeoutMicros = absl::ToInt64Microseconds(remaining);
+    for (const auto &header : state.original_.headers_) {
+        auto field = peer::Header {};
+        field.name = header.name_;
+        field.value = header.value_;
+        request.headers.push_back(std::move(field));
+    }
+    const auto answer = attempt([&] {
+        return services_.peers_->forward(host->peer_, request, remaining);
+    });
+    if (const auto *error = std::get_if<Error>(&answer)) {
+        state.dispatched_.detail_ = describe(*error);
+        return Refusal::RunUnreachable;
+    }
+    state.forwarded_ = true;
+    state.dispatched_.detail_ = "forwarded to " + token.host_;
+    return answerOf(std::get<peer::ForwardedAnswer>(answer));
+}
+
+auto RequestHandler::State::runOnce(RequestState &state, const OnceRequest &once, std::function<std::optional<Refusal>()> beforeSend) -> Served
+{
+    const auto begun = once_.begin(once, state.deadline_);
+    switch (begun.decision_) {
+    case OnceDecision::Execute:
+        break;
+    case OnceDecision::Wait:
+        return Refusal::DeadlineExceeded;
+    case OnceDecision::Replay:
+        state.replayed_ = true;
+        return *begun.answer_;
+    case OnceDecision::AnswerUnknown:
+        return Refusal::ClaimedElsewhere;
+    case OnceDecision::Mismatch:
+        return Refusal::IdempotencyKeyInvalid;
+    case OnceDecision::Full:
+        return Refusal::Overloaded;
+    }
+    auto served = run(state, std::move(beforeSend));
+    if (const auto *answer = std::get_if<Answer>(&served)) {
+        once_.finish(once, std::make_shared<const Answer>(*answer));
+    } else if (describeRefusal(std::get<Refusal>(served)).outcome_ == Outcome::NotRun) {
+        once_.forget(once);
+    } else {
+        once_.finishUnknown(once);
+    }
+    return served;
+}
+
+auto RequestHandler::State::run(RequestState &state, std::function<std::optional<Refusal>()> beforeSend) -> Served
+{
+    if (!state.organisation_.empty() && !services_.shares_->takeToken(monotonicNow(), organisationLimit(state.organisation_))) {
+        return Refusal::RateExceeded;
+    }
+    const auto request = DispatchRequest {
+        state.configuration_, state.route_, state.requestId_, state.organisation_, state.content_, state.deadline_, state.repeatable_, std::move(beforeSend),
+    };
+    state.dispatched_ = dispatcher_.dispatch(request);
+    if (state.dispatched_.answer_) {
+        return std::move(*state.dispatched_.answer_);
+    }
+    return *state.dispatched_.refusal_;
+}
+
+auto RequestHandler::State::answerTo(RequestState &state) -> Answer
+{
+    inFlight_.fetch_add(1, std::memory_order_relaxed);
+    auto served = serve(state);
+    const auto *refused = std::get_if<Refusal>(&served);
+    const auto refusal = refused == nullptr ? std::optional<Refusal> {} : *refused;
+    auto answer = refusal ? refusalAnswer(*refusal, state.requestId_) : answerForCaller(std::get<Answer>(std::move(served)), state);
+    log(state, answer, refusal);
+    inFlight_.fetch_sub(1, std::memory_order_relaxed);
+    return answer;
+}
+
+auto RequestHandler::State::log(const RequestState &state, const Answer &answer, const std::optional<Refusal> &refusal) const -> void
+{
+    const auto elapsed = absl::ToInt64Microseconds(monotonicNow() - state.receivedAt_);
+    const auto &dispatched = state.dispatched_;
+    logLine(wallNow(),
+            logLevelOf(refusal),
+            "request",
+            {
+                { "request", state.requestId_ },
+                { "organisation", state.organisation_ },
+                { "key", state.keyName_ },
+                { "route", state.route_ == nullptr ? "" : state.route_->name_ },
+                { "file", state.route_ == nullptr ? "" : state.route_->file_ },
+                { "revision", std::to_string(state.configuration_->revision_) },
+                { "knowledge", knowledgeStateName(state.knowledge_) },
+                { "backend", dispatched.backend_ },
+                { "region", dispatched.region_ },
+                { "candidates", std::to_string(dispatched.candidates_) },
+                { "attempts", std::to_string(dispatched.attempts_) },
+                { "status", std::to_string(answer.status_) },
+                { "outcome", headerValue(answer.headers_, outcomeHeader) },
+                { "reason", refusal ? std::string(describeRefusal(*refusal).name_) : headerValue(answer.headers_, reasonHeader) },
+                { "replayed", state.replayed_ ? "yes" : "no" },
+                { "detail", dispatched.detail_ },
+                { "microseconds", std::to_string(elapsed) },
+            });
+}
+
+RequestHandler::RequestHandler(RequestServices services)
+    : state_(std::make_unique<State>(std::move(services)))
+{
+}
+
+RequestHandler::~RequestHandler() = default;
+
+auto RequestHandler::handle(const httplib::Request &request, httplib::Response &response) -> void
+{
+    auto state = RequestState {};
+    state.configuration_ = state_->services_.configuration_->get();
+    state.requestId_ = state_->nextRequestId();
+    state.receivedAt_ = monotonicNow();
+    state.deadline_ = absl::InfiniteFuture();
+    state.content_ = contentOf(request);
+    setAnswer(response, state_->answerTo(state));
+}
+
+auto RequestHandler::handleForwarded(const peer::ForwardedRequest &request) -> peer::ForwardedAnswer
+{
+    auto state = RequestState {};
+    state.configuration_ = state_->services_.configuration_->get();
+    state.requestId_ = state_->nextRequestId();
+    state.receivedAt_ = monotonicNow();
+    state.deadline_ = state.receivedAt_ + absl::Microseconds(request.timeoutMicros);
+    state.addressedRun_ = request.run;
+    state.content_ = contentOf(request);
+    auto answer = state_->answerTo(state);
+    auto forwarded = peer::ForwardedAnswer {};
+    forwarded.status = answer.status_;
+    forwarded.body = std::move(answer.body_);
+    for (auto &header : answer.headers_) {
+        auto field = peer::Header {};
+        field.name = std::move(header.name_);
+        field.value = std::move(header.value_);
+        forwarded.headers.push_back(std::move(field));
+    }
+    return forwarded;
+}
+
+auto RequestHandler::bodyLimit(const httplib::Request &request) const -> std::size_t
+{
+    const auto configuration = state_->services_.configuration_->get();
+    const auto path = routingPath(request.target);
+    const auto *route = path ? findRoute(*configuration, request.get_header_value("Host"), *path) : nullptr;
+    return route == nullptr ? 0 : route->bodyLimit_;
+}
+
+auto RequestHandler::inFlight() const -> int
+{
+    return state_->inFlight_.load(std::memory_order_relaxed);
+}
+
+auto RequestHandler::crashReports(absl::Time /*now*/) const -> std::vector<peer::CrashReport>
+{
+    return {};
+}
+
+auto RequestHandler::addCrashReports(absl::Time /*now*/, const std::vector<peer::CrashReport> & /*reports*/) -> void
+{
+}
+
+auto RequestHandler::setLeavingBackends(std::vector<std::string> names) -> void
+{
+    state_->dispatcher_.setLeavingBackends(std::move(names));
+}
+
+auto setRefusal(httplib::Response &response, Refusal refusal, const std::string &requestId) -> void
+{
+    setAnswer(response, refusalAnswer(refusal, requestId));
+}
+
+}
--- a/libraries/process/requesthandler.h
+++ b/libraries/process/requesthandler.h
@@ -7,11 +7,14 @@
 #include "process/currentconfiguration.h"
 #include "process/knowledge.h"
 #include "process/sharekeeper.h"
+#include "request/refusal.h"
 
 #include <httplib.h>
 
+#include <cstddef>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lycheecleat
 {
@@ -48,6 +51,9 @@
     /** Serves a request that a peer forwarded because this host's run owns its idempotency key. */
     [[nodiscard]] auto handleForwarded(const peer::ForwardedRequest &request) -> peer::ForwardedAnswer;
 
+    /** Largest body that the route of a request allows, known from its head; a body that is longer need not be read. */
+    [[nodiscard]] auto bodyLimit(const httplib::Request &request) const -> std::size_t;
+
     /** Requests being served. */
     [[nodiscard]] auto inFlight() const -> int;
 
@@ -63,4 +69,7 @@
     std::unique_ptr<State> state_;
 };
 
+/** Writes a refusal into a response, with its outcome, reason and body. */
+auto setRefusal(httplib::Response &response, Refusal refusal, const std::string &requestId) -> void;
+
 }
