Add crash records, backend server health, shift decisions and claim records

Cause: the request path needs these decisions, and each must be testable without a clock or a connection. Change: pure modules in libraries/request. A repeated crash report does not prolong a record, so hosts cannot keep one alive by repeating it to each other. Ejection takes at most half of a pool's servers in a zone. The servers of a host's first configuration do not enter slow start.

--- /dev/null
+++ b/libraries/request/backendhealth.h
@@ -0,0 +1,70 @@
+/** Passive health of backend servers: outlier ejection and slow start. */
+#pragma once
+
+#include "version/configuration.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** What an exchange says about the health of a backend server. */
+enum class HealthSign {
+    /** A whole response. */
+    Good,
+    /** No whole response. */
+    Bad,
+    /** No connection: the server is not there. */
+    Absent,
+    /** The server closes its connections; it may be about to leave. */
+    Closing,
+};
+
+/** Backend servers to leave out of a choice. */
+struct Exclusions
+{
+    /** Drained or leaving: they must get no request. */
+    std::vector<std::string> required_;
+    /** Ejected, closing or in slow start: left out as long as others remain. */
+    std::vector<std::string> preferred_;
+};
+
+/** Health of backend servers by name. Not thread-safe. Times are monotonic. */
+class BackendHealth
+{
+public:
+    /** Takes over a configuration and the leaving backend servers. Servers that are new or back from a drain enter slow start. */
+    auto configure(absl::Time now, const Configuration &configuration, const std::vector<std::string> &leaving) -> void;
+
+    auto note(absl::Time now, const std::string &backend, HealthSign sign) -> void;
+
+    /** The backend servers of a pool to leave out for a request with the given hash. Ejection never takes more than half of a zone's servers. */
+    [[nodiscard]] auto exclusions(absl::Time now, const Pool &pool, std::uint64_t requestHash) const -> Exclusions;
+
+private:
+    struct Server
+    {
+        int failures_ = 0;
+        int ejections_ = 0;
+        absl::Time ejectedUntil_ = absl::InfinitePast();
+        absl::Time closingUntil_ = absl::InfinitePast();
+        /** Start of slow start. */
+        absl::Time startedAt_ = absl::InfinitePast();
+        /** Drained or leaving. */
+        bool isOut_ = false;
+    };
+
+    [[nodiscard]] auto ejectedOf(absl::Time now, const Pool &pool) const -> std::vector<std::string>;
+    [[nodiscard]] auto isHeldBack(absl::Time now, const Pool &pool, const std::string &name, const Server &server, std::uint64_t requestHash) const -> bool;
+
+    bool hasConfiguration_ = false;
+    absl::flat_hash_map<std::string, Server> servers_;
+};
+
+}
--- /dev/null
+++ b/libraries/request/backendhealthtest.cpp
@@ -0,0 +1,107 @@
+#include "request/backendhealth.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+using Names = std::vector<std::string>;
+
+const auto start = absl::UnixEpoch() + absl::Hours(1);
+
+auto configurationOf(const Names &backends, absl::Duration slowStart = absl::ZeroDuration()) -> Configuration
+{
+    auto configuration = Configuration {};
+    auto pool = Pool { "p", 1, {}, slowStart };
+    for (const auto &name : backends) {
+        pool.backends_.push_back({ name, name.substr(0, 2), "" });
+    }
+    configuration.pools_.push_back(pool);
+    return configuration;
+}
+
+// Share of requests, in percent, for which a server is left out.
+auto excludedPercent(const BackendHealth &health, absl::Time now, const Pool &pool, const std::string &name) -> double
+{
+    constexpr auto requests = 2000;
+    auto count = 0;
+    for (auto hash = std::uint64_t { 0 }; hash < requests; ++hash) {
+        for (const auto &excluded : health.exclusions(now, pool, hash).preferred_) {
+            count += excluded == name ? 1 : 0;
+        }
+    }
+    return count * 100.0 / requests;
+}
+
+}
+
+// Guards against requests that keep going to a failing server, and against an ejection for the fault of one request.
+TEST_CASE("a server is ejected after repeated failures and comes back")
+{
+    const auto configuration = configurationOf({ "z1-a", "z1-b" });
+    const auto &pool = configuration.pools_.front();
+    auto health = BackendHealth();
+    health.configure(start, configuration, {});
+    health.note(start, "z1-a", HealthSign::Bad);
+    health.note(start, "z1-a", HealthSign::Bad);
+    health.note(start, "z1-a", HealthSign::Good);
+    health.note(start, "z1-a", HealthSign::Bad);
+    CHECK(health.exclusions(start, pool, 0).preferred_.empty());
+    health.note(start, "z1-a", HealthSign::Bad);
+    health.note(start, "z1-a", HealthSign::Bad);
+    CHECK(health.exclusions(start, pool, 0).preferred_ == Names { "z1-a" });
+    const auto back = start + absl::Seconds(1);
+    CHECK(health.exclusions(back, pool, 0).preferred_.empty());
+    health.note(back, "z1-a", HealthSign::Absent);
+    CHECK(health.exclusions(back + absl::Milliseconds(1999), pool, 0).preferred_ == Names { "z1-a" });
+    CHECK(health.exclusions(back + absl::Seconds(2), pool, 0).preferred_.empty());
+}
+
+// Guards against a fault of the whole zone, or of this host's network, that would load the servers that are left beyond what they take.
+TEST_CASE("ejection leaves at least half of each zone's servers")
+{
+    const auto configuration = configurationOf({ "z1-a", "z1-b", "z1-c", "z2-a", "z2-b" });
+    auto health = BackendHealth();
+    health.configure(start, configuration, {});
+    for (const auto &backend : configuration.pools_.front().backends_) {
+        health.note(start, backend.name_, HealthSign::Absent);
+    }
+    CHECK(health.exclusions(start, configuration.pools_.front(), 0).preferred_.size() == 2);
+}
+
+// Guards against new work for a leaving server, whichever way its leaving becomes known.
+TEST_CASE("drained, leaving and closing servers get no new work")
+{
+    auto configuration = configurationOf({ "z1-a", "z1-b", "z1-c", "z1-d" });
+    configuration.drains_.push_back({ "d", DrainTarget::Backend, "z1-a" });
+    auto health = BackendHealth();
+    health.configure(start, configuration, { "z1-b" });
+    health.note(start, "z1-c", HealthSign::Closing);
+    const auto exclusions = health.exclusions(start, configuration.pools_.front(), 0);
+    CHECK(exclusions.required_ == Names { "z1-a", "z1-b" });
+    CHECK(exclusions.preferred_ == Names { "z1-c" });
+}
+
+// Guards against full load on a cold server after a drain, and against a host that starts with all servers held back.
+TEST_CASE("a server that is new or back from a drain is brought to full use slowly")
+{
+    const auto before = configurationOf({ "z1-a", "z1-b" }, absl::Seconds(10));
+    const auto after = configurationOf({ "z1-a", "z1-b", "z1-c" }, absl::Seconds(10));
+    const auto &pool = after.pools_.front();
+    auto health = BackendHealth();
+    health.configure(start, before, { "z1-b" });
+    CHECK(excludedPercent(health, start, pool, "z1-a") == 0);
+    health.configure(start, after, {});
+    CHECK(excludedPercent(health, start, pool, "z1-a") == 0);
+    for (const auto &name : Names { "z1-b", "z1-c" }) {
+        CAPTURE(name);
+        CHECK(excludedPercent(health, start, pool, name) == doctest::Approx(90).epsilon(0.05));
+        CHECK(excludedPercent(health, start + absl::Seconds(5), pool, name) == doctest::Approx(50).epsilon(0.1));
+        CHECK(excludedPercent(health, start + absl::Seconds(10), pool, name) == 0);
+    }
+}
--- /dev/null
+++ b/libraries/request/claimrecord.cpp
@@ -0,0 +1,109 @@
+#include "request/claimrecord.h"
+
+#include "core/digest.h"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+// No organisation has this name, since rule names start with a letter or digit.
+constexpr auto openRouteName = "_open";
+
+auto stateName(ClaimState state) -> const char *
+{
+    switch (state) {
+    case ClaimState::Claimed:
+        return "claimed";
+    case ClaimState::Released:
+        return "released";
+    case ClaimState::Done:
+        return "done";
+    }
+    return "claimed";
+}
+
+auto parseState(const std::string &name) -> std::optional<ClaimState>
+{
+    for (const auto state : { ClaimState::Claimed, ClaimState::Released, ClaimState::Done }) {
+        if (name == stateName(state)) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+// Header values and bodies may hold any byte, which JSON text cannot.
+auto encoded(const std::string &bytes) -> std::string
+{
+    return absl::Base64Escape(bytes);
+}
+
+auto decoded(const Json &text) -> std::string
+{
+    auto bytes = std::string {};
+    if (!absl::Base64Unescape(text.get<std::string>(), &bytes)) {
+        throw Json::other_error::create(0, "invalid base64", &text);
+    }
+    return bytes;
+}
+
+auto toJson(const Answer &answer) -> Json
+{
+    auto headers = Json::array();
+    for (const auto &header : answer.headers_) {
+        headers.push_back({ header.name_, encoded(header.value_) });
+    }
+    return { { "status", answer.status_ }, { "headers", std::move(headers) }, { "body", encoded(answer.body_) } };
+}
+
+auto answerFrom(const Json &value) -> Answer
+{
+    auto answer = Answer { value.at("status").get<int>(), {}, decoded(value.at("body")) };
+    for (const auto &header : value.at("headers")) {
+        answer.headers_.push_back({ header.at(0).get<std::string>(), decoded(header.at(1)) });
+    }
+    return answer;
+}
+
+}
+
+auto claimKey(const std::string &organisation, const std::string &idempotencyKey) -> std::string
+{
+    return "once/" + (organisation.empty() ? std::string(openRouteName) : organisation) + "/" + sha256Hex(idempotencyKey);
+}
+
+auto serializeClaim(const ClaimRecord &record) -> std::string
+{
+    auto value = Json { { "state", stateName(record.state_) }, { "claim", record.id_ }, { "request", record.requestDigest_ } };
+    if (record.state_ == ClaimState::Done) {
+        value["answer"] = toJson(record.answer_);
+    }
+    return value.dump();
+}
+
+auto parseClaim(const std::string &text) -> std::optional<ClaimRecord>
+{
+    try {
+        const auto value = Json::parse(text);
+        const auto state = parseState(value.at("state").get<std::string>());
+        if (!state) {
+            return std::nullopt;
+        }
+        auto record = ClaimRecord { *state, value.at("claim").get<std::string>(), value.at("request").get<std::string>(), {} };
+        if (record.state_ == ClaimState::Done) {
+            record.answer_ = answerFrom(value.at("answer"));
+        }
+        return record;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+}
--- /dev/null
+++ b/libraries/request/crashguard.cpp
@@ -0,0 +1,69 @@
+#include "request/crashguard.h"
+
+#include <algorithm>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+auto hasExpired(const CrashRecord &record, absl::Time now) -> bool
+{
+    return now - record.endedAt_ >= crashSuspectTime;
+}
+
+}
+
+CrashGuard::CrashGuard(std::size_t maximumRecords)
+    : maximumRecords_(maximumRecords)
+{
+}
+
+auto CrashGuard::record(absl::Time now, const CrashRecord &crash) -> void
+{
+    removeExpired(now);
+    const auto known = records_.find(crash.fingerprint_);
+    if (hasExpired(crash, now) || (known == records_.end() && records_.size() >= maximumRecords_)) {
+        return;
+    }
+    auto &record = records_[crash.fingerprint_];
+    record.fingerprint_ = crash.fingerprint_;
+    const auto before = record.backends_.size();
+    record.backends_.insert(crash.backends_.begin(), crash.backends_.end());
+    // Hosts repeat reports to each other, so a report without news must not prolong the record.
+    if (record.backends_.size() > before) {
+        record.endedAt_ = before == 0 ? crash.endedAt_ : std::max(record.endedAt_, crash.endedAt_);
+    }
+}
+
+auto CrashGuard::isSuspect(absl::Time now, const std::string &fingerprint) const -> bool
+{
+    const auto found = records_.find(fingerprint);
+    return found != records_.end() && found->second.backends_.size() >= crashSuspectBackends && !hasExpired(found->second, now);
+}
+
+auto CrashGuard::records(absl::Time now) const -> std::vector<CrashRecord>
+{
+    auto current = std::vector<CrashRecord> {};
+    for (const auto &[fingerprint, record] : records_) {
+        if (!hasExpired(record, now)) {
+            current.push_back(record);
+        }
+    }
+    return current;
+}
+
+auto CrashGuard::isEmpty() const -> bool
+{
+    return records_.empty();
+}
+
+auto CrashGuard::removeExpired(absl::Time now) -> void
+{
+    absl::erase_if(records_, [&](const auto &item) {
+        return hasExpired(item.second, now);
+    });
+}
+
+}
