Add the backend server stand-in and the fault proxy

Tests of at-most-once, slots and key removal need a backend server that records every byte and execution and fails in a chosen way, and a network that can be cut, frozen, silenced or slowed between two processes. Executions are also appended to a file before they start, since a crash loses the record in memory.

--- /dev/null
+++ b/tests/standins/support/backendserver.h
@@ -0,0 +1,111 @@
+/** The backend server stand-in: slots, shedding, deadlines, cancellation, misleading health, injected faults and a record of everything received. */
+#pragma once
+
+#include "support/httpserver.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace standin
+{
+
+/** How a backend server behaves. */
+struct BackendSettings
+{
+    std::string name_;
+    int slots_ = 4;
+    std::chrono::milliseconds service_ { 5 };
+    /** Factor on the service time at a cold start; it falls to 1 over the slow start. */
+    double slowStartFactor_ = 1;
+    std::chrono::milliseconds slowStart_ { 0 };
+    int maximumConnections_ = 700;
+    /** Newest requests kept in the record. */
+    std::size_t recordLimit_ = 100000;
+    /** File to which the test identifier of each execution is appended before it starts, so that the count survives a crash; empty: none. */
+    std::string executionsFile_;
+};
+
+/** A fault to inject into requests. */
+struct BackendFault
+{
+    /** One of none, crash, cut, late, no-length, never, error. */
+    std::string mode_ = "none";
+    /** Bytes of the body for cut, milliseconds for late. */
+    std::int64_t value_ = 0;
+};
+
+/**
+ * Serves any path. Request headers: X-Test-Id (identifies the execution), X-Test-Service-Ms, X-Test-Answer-Bytes, X-Test-Crash, X-Test-Mode
+ * ("cut=10"), X-Request-Timeout-Ms. GET /health and /load report the state. Control calls: POST /control/mode {"mode", "value", "count"},
+ * /control/health {"state": ok, draining, closing, lying}, /control/cold; GET /control/record, /control/executions, /control/counts.
+ * A lying server reports that it is healthy and idle whatever its state is. Thread-safe.
+ */
+class BackendServer
+{
+public:
+    explicit BackendServer(BackendSettings settings);
+    ~BackendServer();
+    BackendServer(const BackendServer &) = delete;
+    auto operator=(const BackendServer &) -> BackendServer & = delete;
+
+    /** Listens on "IP:PORT" (port 0: any). */
+    [[nodiscard]] auto start(const std::string &address) -> bool;
+    [[nodiscard]] auto address() const -> const std::string &;
+
+private:
+    using Clock = std::chrono::steady_clock;
+
+    struct RecordedRequest
+    {
+        std::string raw_;
+        std::string testId_;
+        std::string idempotencyKey_;
+        std::string organisation_;
+        Clock::time_point start_;
+        std::optional<Clock::time_point> end_;
+        /** One of running, done, shed, stopped, cancelled, report, incomplete. */
+        std::string outcome_;
+    };
+
+    auto handle(const HttpRequest &request) -> HttpAnswer;
+    auto handleControl(const HttpRequest &request) -> HttpAnswer;
+    auto execute(const HttpRequest &request) -> HttpAnswer;
+    auto serve(const HttpRequest &request, const BackendFault &fault, std::int64_t record) -> HttpAnswer;
+    auto takeSlot() -> bool;
+    auto healthAnswer() -> HttpAnswer;
+    auto loadAnswer() -> HttpAnswer;
+    auto recordAnswer() -> HttpAnswer;
+    auto executionsAnswer() -> HttpAnswer;
+    auto countsAnswer() -> HttpAnswer;
+    auto faultFor(const HttpRequest &request) -> BackendFault;
+    auto serviceTime(const HttpRequest &request) -> std::chrono::milliseconds;
+    auto beginRecord(const HttpRequest &request, const std::string &outcome) -> std::int64_t;
+    auto endRecord(std::int64_t number, const std::string &outcome) -> void;
+    auto noteExecution(const std::string &testId) -> void;
+
+    const BackendSettings settings_;
+    std::mutex mutex_;
+    Clock::time_point startedAt_ = Clock::now();
+    Clock::time_point coldSince_ = startedAt_;
+    std::string health_ = "ok";
+    BackendFault fault_;
+    /** Requests that the fault still applies to; negative: all. */
+    std::int64_t faultCount_ = 0;
+    int inFlight_ = 0;
+    int highestConcurrency_ = 0;
+    std::map<std::string, std::int64_t> outcomes_;
+    std::map<std::string, std::int64_t> executions_;
+    std::deque<RecordedRequest> record_;
+    /** Number of the first request that the record still holds. */
+    std::int64_t firstRecord_ = 0;
+    int executionsDescriptor_ = -1;
+    HttpServer server_;
+};
+
+}
--- /dev/null
+++ b/tests/standins/support/faultproxy.cpp
@@ -0,0 +1,451 @@
+#include "support/faultproxy.h"
+
+#include "support/sockets.h"
+
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <deque>
+#include <optional>
+
+namespace standin
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr auto statusOk = 200;
+constexpr auto statusBadRequest = 400;
+constexpr auto statusNotFound = 404;
+constexpr auto maximumControlConnections = 64;
+constexpr auto endlessWait = -1;
+constexpr auto acceptPollMilliseconds = 20;
+/** Bytes held in one direction before reading stops. */
+constexpr auto maximumHeldBytes = std::size_t { 1 } << 20;
+
+/** Bytes under way in one direction. */
+struct Direction
+{
+    int from_ = -1;
+    int to_ = -1;
+    struct Piece
+    {
+        Clock::time_point due_;
+        std::string bytes_;
+    };
+    std::deque<Piece> pieces_;
+    std::size_t heldBytes_ = 0;
+    bool ended_ = false;
+    bool endPassed_ = false;
+};
+
+/** Closes a connection so that the peer sees a reset. */
+auto resetAndClose(int socket) -> void
+{
+    const auto lingering = linger { 1, 0 };
+    setsockopt(socket, SOL_SOCKET, SO_LINGER, &lingering, sizeof(lingering));
+    close(socket);
+}
+
+/** Reads what is there; false on an error of the connection. */
+auto readPiece(Direction &direction, const LinkFaults &faults, bool discards) -> bool
+{
+    auto chunk = std::array<char, 65536> {};
+    const auto count = recv(direction.from_, chunk.data(), chunk.size(), MSG_DONTWAIT);
+    if (count < 0) {
+        return errno == EAGAIN || errno == EINTR;
+    }
+    if (count == 0) {
+        direction.ended_ = true;
+        return true;
+    }
+    if (!discards) {
+        direction.pieces_.push_back({ Clock::now() + faults.delay_, std::string(chunk.data(), static_cast<std::size_t>(count)) });
+        direction.heldBytes_ += static_cast<std::size_t>(count);
+    }
+    return true;
+}
+
+/** Sends the pieces that are due; false on an error of the connection. */
+auto writePieces(Direction &direction) -> bool
+{
+    while (!direction.pieces_.empty() && direction.pieces_.front().due_ <= Clock::now()) {
+        auto &bytes = direction.pieces_.front().bytes_;
+        const auto count = send(direction.to_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        direction.heldBytes_ -= static_cast<std::size_t>(count);
+        bytes.erase(0, static_cast<std::size_t>(count));
+        if (bytes.empty()) {
+            direction.pieces_.pop_front();
+        }
+    }
+    if (direction.ended_ && direction.pieces_.empty() && !direction.endPassed_) {
+        direction.endPassed_ = true;
+        shutdown(direction.to_, SHUT_WR);
+    }
+    return true;
+}
+
+/** Whether bytes wait for a socket that is full. */
+auto isBlocked(const Direction &direction) -> bool
+{
+    return !direction.pieces_.empty() && direction.pieces_.front().due_ <= Clock::now();
+}
+
+/** Milliseconds until the next piece is due; -1 when none waits. */
+auto waitFor(const Direction &direction) -> int
+{
+    if (direction.pieces_.empty() || isBlocked(direction)) {
+        return -1;
+    }
+    return static_cast<int>(std::chrono::ceil<milliseconds>(direction.pieces_.front().due_ - Clock::now()).count());
+}
+
+/** What to poll for on the socket that one direction reads and the other writes. */
+auto eventsOf(const Direction &reading, const Direction &writing) -> short
+{
+    const auto canRead = !reading.ended_ && reading.heldBytes_ < maximumHeldBytes;
+    return static_cast<short>((canRead ? POLLIN : 0) | (isBlocked(writing) ? POLLOUT : 0));
+}
+
+auto isReadable(const pollfd &descriptor) -> bool
+{
+    return (descriptor.revents & (POLLIN | POLLHUP | POLLERR)) != 0;
+}
+
+/** The shorter of two waits, of which -1 is endless. */
+auto shorterWait(int left, int right) -> int
+{
+    return left < 0 ? right : (right < 0 ? left : std::min(left, right));
+}
+
+/** What became of a proxied connection. */
+enum class RelayState {
+    Open,
+    /** Both sides have ended. */
+    Ended,
+    /** Both sides are to see a reset. */
+    Reset,
+};
+
+/** Passes bytes between a client and the target. */
+class Relay
+{
+public:
+    Relay(int client, int wake, std::string target)
+        : wake_(wake)
+        , targetAddress_(std::move(target))
+    {
+        upstream_.from_ = client;
+        downstream_.to_ = client;
+    }
+
+    /** Waits for the next event and handles it. */
+    auto step(const LinkFaults &faults) -> RelayState
+    {
+        auto signalled = std::uint64_t { 0 };
+        [[maybe_unused]] const auto drained = read(wake_, &signalled, sizeof(signalled));
+        if (faults.frozen_) {
+            auto descriptor = pollfd { wake_, POLLIN, 0 };
+            poll(&descriptor, 1, endlessWait);
+            return RelayState::Open;
+        }
+        if (!connectTarget() || !writePieces(upstream_) || !writePieces(downstream_)) {
+            return RelayState::Reset;
+        }
+        if (upstream_.endPassed_ && downstream_.endPassed_) {
+            return RelayState::Ended;
+        }
+        return waitAndRead(faults) ? RelayState::Open : RelayState::Reset;
+    }
+
+    /** Closes both sides. */
+    auto close(RelayState state) -> void
+    {
+        for (const auto socket : { upstream_.from_, upstream_.to_ }) {
+            if (socket < 0) {
+                continue;
+            }
+            if (state == RelayState::Reset) {
+                resetAndClose(socket);
+            } else {
+                ::close(socket);
+            }
+        }
+    }
+
+private:
+    /** Connects to the target at the first use, since a frozen link must not reach it. */
+    auto connectTarget() -> bool
+    {
+        if (upstream_.to_ < 0) {
+            upstream_.to_ = connectTo(targetAddress_);
+            downstream_.from_ = upstream_.to_;
+        }
+        return upstream_.to_ >= 0;
+    }
+
+    auto waitAndRead(const LinkFaults &faults) -> bool
+    {
+        auto descriptors = std::array<pollfd, 3> { pollfd { wake_, POLLIN, 0 },
+                                                   pollfd { upstream_.from_, eventsOf(upstream_, downstream_), 0 },
+                                                   pollfd { upstream_.to_, eventsOf(downstream_, upstream_), 0 } };
+        // A side that has ended and has nothing to write would report its hang-up again and again.
+        for (auto &descriptor : descriptors) {
+            descriptor.fd = descriptor.events == 0 ? -1 : descriptor.fd;
+        }
+        poll(descriptors.data(), descriptors.size(), shorterWait(waitFor(upstream_), waitFor(downstream_)));
+        // A fault that was switched on during the wait applies before anything is read.
+        if (descriptors[0].revents != 0) {
+            return true;
+        }
+        if (isReadable(descriptors[1]) && !readPiece(upstream_, faults, false)) {
+            return false;
+        }
+        return !isReadable(descriptors[2]) || readPiece(downstream_, faults, faults.repliesDropped_);
+    }
+
+    int wake_;
+    std::string targetAddress_;
+    Direction upstream_;
+    Direction downstream_;
+};
+
+auto matches(const std::string &pattern, const std::string &name) -> bool
+{
+    if (!pattern.empty() && pattern.back() == '*') {
+        return name.compare(0, pattern.size() - 1, pattern, 0, pattern.size() - 1) == 0;
+    }
+    return pattern == name;
+}
+
+}
+
+struct FaultProxy::Connection
+{
+    int client_ = -1;
+    /** Written to when the link's faults change. */
+    int wake_ = -1;
+    bool silenced_ = false;
+};
+
+struct FaultProxy::Link
+{
+    ProxyLink settings_;
+    LinkFaults faults_;
+    int listener_ = -1;
+    std::thread acceptor_;
+    std::list<std::unique_ptr<Connection>> connections_;
+};
+
+FaultProxy::FaultProxy(std::vector<ProxyLink> links)
+    : control_(
+        [this](const HttpRequest &request) {
+            return handleControl(request);
+        },
+        maximumControlConnections)
+{
+    for (auto &settings : links) {
+        auto link = std::make_unique<Link>();
+        link->settings_ = std::move(settings);
+        links_.push_back(std::move(link));
+    }
+}
+
+FaultProxy::~FaultProxy()
+{
+    control_.stop();
+    {
+        const auto lock = std::lock_guard(mutex_);
+        stopping_ = true;
+    }
+    changeLinks({ "*" }, [](Link &) {});
+    for (auto &link : links_) {
+        if (link->acceptor_.joinable()) {
+            link->acceptor_.join();
+        }
+    }
+    auto lock = std::unique_lock(mutex_);
+    changed_.wait(lock, [this] {
+        return std::all_of(links_.begin(), links_.end(), [](const auto &link) {
+            return link->connections_.empty();
+        });
+    });
+}
+
+auto FaultProxy::start(const std::string &controlAddress) -> bool
+{
+    for (auto &link : links_) {
+        link->listener_ = listenOn(link->settings_.listen_);
+        if (link->listener_ < 0) {
+            return false;
+        }
+        link->acceptor_ = std::thread([this, &link] {
+            acceptLoop(*link);
+        });
+    }
+    return control_.start(controlAddress);
+}
+
+auto FaultProxy::controlAddress() const -> const std::string &
+{
+    return control_.address();
+}
+
+auto FaultProxy::acceptLoop(Link &link) -> void
+{
+    while (true) {
+        {
+            const auto lock = std::lock_guard(mutex_);
+            if (stopping_) {
+                break;
+            }
+            if (link.faults_.cut_ && link.listener_ >= 0) {
+                close(link.listener_);
+                link.listener_ = -1;
+            }
+            if (!link.faults_.cut_ && link.listener_ < 0) {
+                link.listener_ = listenOn(link.settings_.listen_);
+            }
+        }
+        auto descriptor = pollfd { link.listener_, POLLIN, 0 };
+        if (poll(&descriptor, 1, acceptPollMilliseconds) <= 0) {
+            continue;
+        }
+        const auto client = accept4(link.listener_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (client < 0) {
+            continue;
+        }
+        auto connection = std::make_unique<Connection>();
+        connection->client_ = client;
+        connection->wake_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+        auto *const added = connection.get();
+        const auto lock = std::lock_guard(mutex_);
+        link.connections_.push_back(std::move(connection));
+        std::thread([this, &link, added] {
+            pump(link, *added);
+        }).detach();
+    }
+    if (link.listener_ >= 0) {
+        close(link.listener_);
+    }
+}
+
+auto FaultProxy::pump(Link &link, Connection &connection) -> void
+{
+    auto relay = Relay(connection.client_, connection.wake_, link.settings_.target_);
+    auto state = RelayState::Open;
+    while (state == RelayState::Open) {
+        const auto faults = faultsOf(link, connection);
+        state = faults ? relay.step(*faults) : RelayState::Reset;
+    }
+    relay.close(state);
+    const auto lock = std::lock_guard(mutex_);
+    close(connection.wake_);
+    link.connections_.remove_if([&](const auto &other) {
+        return other.get() == &connection;
+    });
+    // Notified under the lock: the proxy may be destroyed as soon as the lock is free.
+    changed_.notify_all();
+}
+
+auto FaultProxy::faultsOf(const Link &link, const Connection &connection) -> std::optional<LinkFaults>
+{
+    const auto lock = std::lock_guard(mutex_);
+    if (stopping_ || link.faults_.cut_) {
+        return std::nullopt;
+    }
+    auto faults = link.faults_;
+    faults.frozen_ = faults.frozen_ || connection.silenced_;
+    return faults;
+}
+
+auto FaultProxy::changeLinks(const std::vector<std::string> &patterns, const std::function<void(Link &)> &change) -> int
+{
+    const auto lock = std::lock_guard(mutex_);
+    auto changed = 0;
+    for (auto &link : links_) {
+        const auto isMeant = std::any_of(patterns.begin(), patterns.end(), [&](const auto &pattern) {
+            return matches(pattern, link->settings_.name_);
+        });
+        if (!isMeant) {
+            continue;
+        }
+        ++changed;
+        change(*link);
+        for (auto &connection : link->connections_) {
+            const auto one = std::uint64_t { 1 };
+            [[maybe_unused]] const auto written = write(connection->wake_, &one, sizeof(one));
+        }
+    }
+    return changed;
+}
+
+auto FaultProxy::handleControl(const HttpRequest &request) -> HttpAnswer
+{
+    if (request.path_ == "/control/links") {
+        return linksAnswer();
+    }
+    const auto body = Json::parse(request.body_, nullptr, false);
+    if (!body.is_object() || !body.contains("links")) {
+        return jsonAnswer(statusBadRequest, R"({"error":"the body is not a JSON object with links"})");
+    }
+    const auto patterns = body.at("links").get<std::vector<std::string>>();
+    const auto on = body.value("on", true);
+    auto changed = 0;
+    if (request.path_ == "/control/cut") {
+        changed = changeLinks(patterns, [on](Link &link) {
+            link.faults_.cut_ = on;
+        });
+    } else if (request.path_ == "/control/freeze") {
+        changed = changeLinks(patterns, [on](Link &link) {
+            link.faults_.frozen_ = on;
+        });
+    } else if (request.path_ == "/control/drop-replies") {
+        changed = changeLinks(patterns, [on](Link &link) {
+            link.faults_.repliesDropped_ = on;
+        });
+    } else if (request.path_ == "/control/delay") {
+        const auto delay = milliseconds(body.value("ms", std::int64_t { 0 }));
+        changed = changeLinks(patterns, [delay](Link &link) {
+            link.faults_.delay_ = delay;
+        });
+    } else if (request.path_ == "/control/silence") {
+        changed = changeLinks(patterns, [](Link &link) {
+            for (auto &connection : link.connections_) {
+                connection->silenced_ = true;
+            }
+        });
+    } else {
+        return jsonAnswer(statusNotFound, R"({"error":"unknown control call"})");
+    }
+    // A misspelt name would otherwise leave a test without its fault.
+    return jsonAnswer(changed > 0 ? statusOk : statusNotFound, Json { { "links", changed } }.dump());
+}
+
+auto FaultProxy::linksAnswer() -> HttpAnswer
+{
+    const auto lock = std::lock_guard(mutex_);
+    auto body = Json::object();
+    for (const auto &link : links_) {
+        body[link->settings_.name_] = Json { { "listen", link->settings_.listen_ },        { "target", link->settings_.target_ },
+                                             { "connections", link->connections_.size() }, { "cut", link->faults_.cut_ },
+                                             { "frozen", link->faults_.frozen_ },          { "replies_dropped", link->faults_.repliesDropped_ },
+                                             { "delay_ms", link->faults_.delay_.count() } };
+    }
+    return jsonAnswer(statusOk, body.dump());
+}
+
+}
--- /dev/null
+++ b/tests/standins/support/faultproxytest.cpp
@@ -0,0 +1,132 @@
+#include "support/faultproxy.h"
+
+#include "support/backendserver.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+using namespace standin;
+
+namespace
+{
+
+constexpr auto proxyAddress = "127.0.77.1:7701";
+
+/** A backend server behind a proxy. */
+struct Fixture
+{
+    Fixture()
+        : backend_(settings())
+        , backendStarted_(backend_.start("127.0.77.2:0"))
+        , proxy_({ ProxyLink { "link", proxyAddress, backend_.address() } })
+        , proxyStarted_(proxy_.start("127.0.77.1:0"))
+    {
+        REQUIRE(backendStarted_);
+        REQUIRE(proxyStarted_);
+    }
+
+    static auto settings() -> BackendSettings
+    {
+        auto settings = BackendSettings {};
+        settings.name_ = "b1";
+        return settings;
+    }
+
+    auto control(const std::string &name, const std::string &body) -> void
+    {
+        auto connection = httplib::Client("http://" + proxy_.controlAddress());
+        const auto answer = connection.Post("/control/" + name, body, "application/json");
+        REQUIRE(answer);
+        REQUIRE(answer->status == 200);
+    }
+
+    auto executions() -> std::string
+    {
+        auto connection = httplib::Client("http://" + backend_.address());
+        return connection.Get("/control/executions")->body;
+    }
+
+    BackendServer backend_;
+    bool backendStarted_;
+    FaultProxy proxy_;
+    bool proxyStarted_;
+};
+
+auto makeConnection() -> std::unique_ptr<httplib::Client>
+{
+    auto connection = std::make_unique<httplib::Client>(std::string("http://") + proxyAddress);
+    connection->set_keep_alive(true);
+    connection->set_connection_timeout(std::chrono::milliseconds(300));
+    connection->set_read_timeout(std::chrono::milliseconds(300));
+    return connection;
+}
+
+auto isAnswered(httplib::Client &connection, const std::string &testId = "x") -> bool
+{
+    const auto answer = connection.Get("/", httplib::Headers { { "X-Test-Id", testId } });
+    return answer && answer->status == 200;
+}
+
+}
+
+// Guards against fault tests that pass because the fault was never there.
+TEST_CASE("cut refuses and resets until it is switched off")
+{
+    auto fixture = Fixture {};
+    auto open = makeConnection();
+    REQUIRE(isAnswered(*open));
+    fixture.control("cut", R"({"links": ["link"], "on": true})");
+    CHECK_FALSE(isAnswered(*open));
+    CHECK_FALSE(isAnswered(*makeConnection()));
+    fixture.control("cut", R"({"links": ["l*"], "on": false})");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(isAnswered(*makeConnection()));
+}
+
+// Guards against a freeze that closes connections: the peer must see silence only.
+TEST_CASE("freeze passes nothing and resumes what was sent meanwhile")
+{
+    auto fixture = Fixture {};
+    auto open = makeConnection();
+    REQUIRE(isAnswered(*open, "before"));
+    fixture.control("freeze", R"({"links": ["link"], "on": true})");
+    CHECK_FALSE(isAnswered(*open, "frozen"));
+    CHECK(fixture.executions().find("frozen") == std::string::npos);
+    fixture.control("freeze", R"({"links": ["link"], "on": false})");
+    CHECK(isAnswered(*makeConnection(), "after"));
+}
+
+// Guards against a silence that also stops new connections.
+TEST_CASE("silence stops the open connections only")
+{
+    auto fixture = Fixture {};
+    auto open = makeConnection();
+    REQUIRE(isAnswered(*open));
+    fixture.control("silence", R"({"links": ["link"]})");
+    CHECK_FALSE(isAnswered(*open));
+    CHECK(isAnswered(*makeConnection()));
+}
+
+// Guards against dropped replies that also stop the request: the request must run.
+TEST_CASE("drop-replies lets the request run and loses the answer")
+{
+    auto fixture = Fixture {};
+    fixture.control("drop-replies", R"({"links": ["link"], "on": true})");
+    CHECK_FALSE(isAnswered(*makeConnection(), "lost"));
+    CHECK(nlohmann::json::parse(fixture.executions()).at("lost") == 1);
+}
+
+// Guards against a delay that is not applied in both directions.
+TEST_CASE("delay adds its time in each direction")
+{
+    auto fixture = Fixture {};
+    fixture.control("delay", R"({"links": ["link"], "ms": 60})");
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(isAnswered(*makeConnection()));
+    CHECK(std::chrono::steady_clock::now() - begin >= std::chrono::milliseconds(120));
+}
--- a/tests/standins/support/httpserver.cpp
+++ b/tests/standins/support/httpserver.cpp
@@ -1,9 +1,8 @@
 #include "support/httpserver.h"
 
-#include <arpa/inet.h>
+#include "support/sockets.h"
+
 #include <fmt/format.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,8 +18,6 @@
 namespace
 {
 
-/** Connection bursts of tests are larger than the usual backlog of a few connections. */
-constexpr auto listenBacklog = 4096;
 constexpr auto maximumHeaderBytes = std::size_t { 64 } * 1024;
 constexpr auto maximumBodyBytes = std::size_t { 64 } * 1024 * 1024;
 constexpr auto pollMilliseconds = 100;
@@ -292,9 +289,10 @@
     return answer;
 }
 
-HttpServer::HttpServer(HttpHandler handler, int maximumConnections)
+HttpServer::HttpServer(HttpHandler handler, int maximumConnections, LeftoverHandler leftoverHandler)
     : handler_(std::move(handler))
     , maximumConnections_(maximumConnections)
+    , leftoverHandler_(std::move(leftoverHandler))
 {
 }
 
@@ -305,28 +303,11 @@
 
 auto HttpServer::start(const std::string &address) -> bool
 {
-    const auto colon = address.rfind(':');
-    auto port = 0;
-    if (colon == std::string::npos || std::from_chars(address.data() + colon + 1, address.data() + address.size(), port).ec != std::errc {}) {
-        return false;
-    }
-    auto local = sockaddr_in {};
-    local.sin_family = AF_INET;
-    local.sin_port = htons(static_cast<std::uint16_t>(port));
-    if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &local.sin_addr) != 1) {
+    listener_ = listenOn(address);
+    if (listener_ < 0) {
         return false;
     }
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const auto on = 1;
-    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (bind(listener_, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) != 0 || listen(listener_, listenBacklog) != 0) {
-        close(listener_);
-        listener_ = -1;
-        return false;
-    }
-    auto size = socklen_t { sizeof(local) };
-    getsockname(listener_, reinterpret_cast<sockaddr *>(&local), &size);
-    address_ = fmt::format("{}:{}", address.substr(0, colon), ntohs(local.sin_port));
+    address_ = boundAddress(listener_);
     acceptor_ = std::thread([this] {
         acceptLoop();
     });
@@ -376,8 +357,7 @@
         if (socket < 0) {
             continue;
         }
-        const auto on = 1;
-        setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        disableDelay(socket);
         {
             const auto lock = std::lock_guard(mutex_);
             if (static_cast<int>(sockets_.size()) >= maximumConnections_) {
@@ -402,6 +382,9 @@
             break;
         }
     }
+    if (leftoverHandler_ && !reader.buffer().empty()) {
+        leftoverHandler_(reader.buffer());
+    }
     const auto lock = std::lock_guard(mutex_);
     sockets_.erase(socket);
     close(socket);
--- a/tests/standins/support/httpserver.h
+++ b/tests/standins/support/httpserver.h
@@ -52,6 +52,9 @@
 /** Computes the answer of a request. Called from many threads. */
 using HttpHandler = std::function<HttpAnswer(const HttpRequest &)>;
 
+/** Told the bytes that a connection left behind without a complete request. */
+using LeftoverHandler = std::function<void(const std::string &)>;
+
 /** First value of a header whose name is given in lower case; empty when it is absent. */
 [[nodiscard]] auto headerOf(const HttpRequest &request, const std::string &name) -> std::string;
 
@@ -66,7 +69,7 @@
 {
 public:
     /** A connection above the limit is closed at once. */
-    HttpServer(HttpHandler handler, int maximumConnections);
+    HttpServer(HttpHandler handler, int maximumConnections, LeftoverHandler leftoverHandler = {});
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     auto operator=(const HttpServer &) -> HttpServer & = delete;
@@ -92,6 +95,7 @@
 
     HttpHandler handler_;
     int maximumConnections_;
+    LeftoverHandler leftoverHandler_;
     int listener_ = -1;
     std::string address_;
     std::atomic<bool> stopping_ = false;
--- a/tests/standins/support/storeserver.cpp
+++ b/tests/standins/support/storeserver.cpp
@@ -291,6 +291,7 @@
 
 auto StoreServer::dump() -> HttpAnswer
 {
+    removeExpired(Clock::now());
     auto entries = Json::object();
     for (const auto &[key, entry] : data_.entries_) {
         entries[key] = Json { { "value", entry.value_ }, { "version", entry.version_ } };
