Follow the store and the peers for configuration revisions

The two first available hosts of a zone follow the store with a long poll of one second; all hosts fetch newer revisions from peers as soon as an exchange shows one, on either side of it. A lower revision, another digest for the same revision, damaged chunks and rules that fail their check are refused with an alarm and counted.

The store's answer counts as knowledge only when its head is in force here. A store that returns older or wrong data can't tell of withdrawals made since, so it is treated as a store that doesn't answer, for which keyed service goes on while zones hear each other.

Hosts in the store's zones also ask the store once their knowledge is older than half the freshness bound, since their report decides whether the store counts as down everywhere.

--- /dev/null
+++ b/libraries/process/configurationfollower.cpp
@@ -0,0 +1,523 @@
+#include "process/configurationfollower.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+#include "version/rulefolder.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** Time between two looks whether this host has to follow the store. */
+constexpr auto roleInterval = absl::Milliseconds(200);
+
+/** Pause after a store call that failed, so that a store that refuses connections is not called in a tight loop. */
+constexpr auto storeRetryDelay = absl::Milliseconds(500);
+
+/** Pause after a head that was not put in force. A watch with an outdated version returns at once. */
+constexpr auto refusedHeadDelay = absl::Milliseconds(500);
+
+/** Longest time to fetch a configuration from a peer. */
+constexpr auto fetchTimeout = absl::Seconds(2);
+
+/** Threads that fetch from peers, so that a frozen peer doesn't hold up a fetch from another. */
+constexpr auto fetchThreads = 2;
+
+/** An alarm that lasts is logged again after this time. */
+constexpr auto alarmRepeat = absl::Seconds(30);
+
+auto identityOf(const Head &head) -> HeadIdentity
+{
+    return HeadIdentity { head.revision_, sha256Hex(serializeHead(head)) };
+}
+
+auto describeProblems(const std::vector<RuleProblem> &problems) -> std::string
+{
+    const auto &first = problems.front();
+    return fmt::format("{} problems; the first is {}:{}: {}: {}", problems.size(), first.file_, first.line_, first.field_, first.message_);
+}
+
+auto logConfiguration(LogLevel level, const char *event, const HeadIdentity &identity, const std::string &source, const std::string &detail) -> void
+{
+    logLine(wallNow(),
+            level,
+            event,
+            { { "revision", std::to_string(identity.revision_) }, { "digest", identity.digest_ }, { "source", source }, { "detail", detail } });
+}
+
+}
+
+auto followsStore(const FollowFacts &facts) -> bool
+{
+    if (facts.revision_ == 0 || !facts.declared_) {
+        return true;
+    }
+    if (facts.liveBefore_ < followersPerZone) {
+        return true;
+    }
+    return facts.inStoreZone_ && facts.knowledgeAge_ > facts.freshness_ / 2;
+}
+
+auto compareHeads(const HeadIdentity &inForce, const HeadIdentity &offered) -> HeadDecision
+{
+    if (offered.revision_ > inForce.revision_) {
+        return HeadDecision::Newer;
+    }
+    if (offered.revision_ < inForce.revision_) {
+        return HeadDecision::Older;
+    }
+    return offered.digest_ == inForce.digest_ ? HeadDecision::Same : HeadDecision::Conflict;
+}
+
+auto leavingMachines(const HostList &list) -> std::vector<std::string>
+{
+    auto machines = std::set<std::string> {};
+    for (const auto &host : list.hosts_) {
+        if (host.leaving_) {
+            machines.insert(host.name_);
+            machines.insert(host.address_);
+        }
+    }
+    machines.erase("");
+    return { machines.begin(), machines.end() };
+}
+
+auto leavingBackendsOf(const std::vector<std::string> &machines, const Configuration &configuration) -> std::vector<std::string>
+{
+    const auto leaving = std::set<std::string>(machines.begin(), machines.end());
+    auto names = std::set<std::string> {};
+    for (const auto &pool : configuration.pools_) {
+        for (const auto &backend : pool.backends_) {
+            if (leaving.count(backend.name_) > 0 || leaving.count(backend.address_) > 0) {
+                names.insert(backend.name_);
+            }
+        }
+    }
+    return { names.begin(), names.end() };
+}
+
+auto followedStore(StoreClient &store) -> FollowedStore
+{
+    return FollowedStore {
+        [&store](const std::string &key) {
+            return store.get(key);
+        },
+        [&store](const std::string &key, std::int64_t knownVersion, absl::Duration wait) {
+            return store.watch(key, knownVersion, wait);
+        },
+        [&store] {
+            return store.hostList();
+        },
+    };
+}
+
+ConfigurationFollower::ConfigurationFollower(FollowerServices services)
+    : services_(std::move(services))
+{
+}
+
+ConfigurationFollower::~ConfigurationFollower()
+{
+    stop();
+}
+
+auto ConfigurationFollower::start() -> void
+{
+    threads_.emplace_back([this] {
+        followStore();
+    });
+    for (auto index = 0; index < fetchThreads; ++index) {
+        threads_.emplace_back([this] {
+            followPeers();
+        });
+    }
+}
+
+auto ConfigurationFollower::stop() -> void
+{
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        stopping_ = true;
+        changed_.SignalAll();
+    }
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+auto ConfigurationFollower::heard(const PeerNews &news) -> bool
+{
+    const auto &state = news.state_;
+    takeHostList(state.hostListSequence, state.leavingBackends);
+    const auto offered = HeadIdentity { state.revision, state.digest };
+    const auto decision = compareHeads(inForce(), offered);
+    if (decision == HeadDecision::Conflict && state.revision > 0) {
+        refuse("conflict", offered, news.address_, "a peer has another digest for the revision in force");
+    }
+    if (decision != HeadDecision::Newer) {
+        // A peer that has an older revision and yet knows the store's present state has read a store that went back.
+        return decision == HeadDecision::Same;
+    }
+    const auto lock = absl::MutexLock(&mutex_);
+    if (offered == rejected_ || news.address_.empty()) {
+        return false;
+    }
+    offer_ = Offer { news.address_, state.revision };
+    changed_.SignalAll();
+    return false;
+}
+
+auto ConfigurationFollower::bundleFor(std::int64_t revision) const -> peer::ConfigurationBundle
+{
+    auto bundle = std::shared_ptr<const Bundle> {};
+    {
+        const auto lock = absl::ReaderMutexLock(&mutex_);
+        bundle = bundle_;
+    }
+    auto reply = peer::ConfigurationBundle {};
+    if (bundle->head_.revision_ < revision) {
+        return reply;
+    }
+    reply.revision = bundle->head_.revision_;
+    reply.head = serializeHead(bundle->head_);
+    reply.chunks = bundle->chunks_;
+    return reply;
+}
+
+auto ConfigurationFollower::leavingBackends(const Configuration &configuration) const -> std::vector<std::string>
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return leavingBackendsOf(leavingMachines_, configuration);
+}
+
+auto ConfigurationFollower::describeHostList(peer::HostState &state) const -> void
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    state.hostListSequence = hostListSequence_;
+    state.leavingBackends = leavingMachines_;
+}
+
+auto ConfigurationFollower::counts() const -> FollowerCounts
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return counts_;
+}
+
+auto ConfigurationFollower::followStore() -> void
+{
+    while (!isStopping()) {
+        if (!shouldFollow(monotonicNow())) {
+            pause(roleInterval);
+            continue;
+        }
+        pollStore();
+        if (monotonicNow() - hostListReadAt_ >= hostListInterval) {
+            pollHostList();
+        }
+    }
+}
+
+auto ConfigurationFollower::shouldFollow(absl::Time now) const -> bool
+{
+    const auto configuration = services_.configuration_->get();
+    const auto &platform = configuration->platform_;
+    auto facts = FollowFacts { configuration->revision_, false, 0, false, services_.knowledge_->ageAt(now), platform.freshness_ };
+    facts.inStoreZone_ = std::find(platform.storeZones_.begin(), platform.storeZones_.end(), services_.zone_) != platform.storeZones_.end();
+    auto available = std::set<std::string> {};
+    const auto views = services_.membership_->views();
+    for (const auto &view : views) {
+        if (isLive(view.heardAt_, now, views.size()) && !view.state_.leaving) {
+            available.insert(view.host_.name_);
+        }
+    }
+    for (const auto &host : configuration->entryHosts_) {
+        if (host.name_ == services_.hostName_) {
+            facts.declared_ = true;
+            break;
+        }
+        if (host.zone_ == services_.zone_ && available.count(host.name_) > 0) {
+            ++facts.liveBefore_;
+        }
+    }
+    return followsStore(facts);
+}
+
+auto ConfigurationFollower::pollStore() -> void
+{
+    const auto revisionBefore = inForce().revision_;
+    const auto sentAt = monotonicNow();
+    const auto outcome = attempt([&] {
+        return services_.store_.watch_(headKey, knownVersion_, longPoll);
+    });
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        ++counts_.storeCalls_;
+    }
+    if (const auto *error = std::get_if<Error>(&outcome)) {
+        {
+            const auto lock = absl::MutexLock(&mutex_);
+            ++counts_.storeFailures_;
+        }
+        logLine(wallNow(), LogLevel::Info, "store_call_failed", { { "error", describe(*error) } });
+        pause(storeRetryDelay);
+        return;
+    }
+    takeStoredHead(sentAt, revisionBefore, std::get<StoreEntry>(outcome));
+}
+
+auto ConfigurationFollower::takeStoredHead(absl::Time sentAt, std::int64_t revisionBefore, const StoreEntry &entry) -> void
+{
+    knownVersion_ = entry.version_;
+    if (entry.version_ == 0) {
+        if (revisionBefore > 0) {
+            refuse("older", HeadIdentity {}, "store", "the store holds no configuration");
+        }
+        pause(refusedHeadDelay);
+        return;
+    }
+    const auto outcome = attempt([&]() -> Result<Bundle> {
+        BOOST_LEAF_AUTO(head, parseHead(entry.value_));
+        return readChunks(head);
+    });
+    if (const auto *error = std::get_if<Error>(&outcome)) {
+        logLine(wallNow(), LogLevel::Warning, "configuration_not_read", { { "source", "store" }, { "error", describe(*error) } });
+        // The chunks are read again with the next poll, which must not wait for another version.
+        knownVersion_ = 0;
+        pause(storeRetryDelay);
+        return;
+    }
+    // The answer counts as knowledge only when the store's head is in force here: a store that returns older or wrong data says nothing
+    // about withdrawals made since, and is treated as a store that doesn't answer.
+    const auto identity = identityOf(std::get<Bundle>(outcome).head_);
+    if (adopt(std::get<Bundle>(outcome), "store") == Adoption::InForce) {
+        services_.knowledge_->storeAnswered(sentAt);
+        return;
+    }
+    // A peer may have brought a newer revision while the store was being read, so only a revision in force before counts.
+    if (identity.revision_ < revisionBefore) {
+        refuse("older", identity, "store", "a newer revision is in force");
+    }
+    pause(refusedHeadDelay);
+}
+
+auto ConfigurationFollower::readChunks(const Head &head) -> Result<Bundle>
+{
+    auto bundle = Bundle { head, {} };
+    const auto identity = identityOf(head);
+    auto present = std::shared_ptr<const Bundle> {};
+    {
+        const auto lock = absl::ReaderMutexLock(&mutex_);
+        present = bundle_;
+        // Only a newer head that is not known to be wrong needs its chunks.
+        if (identity == rejected_) {
+            return bundle;
+        }
+    }
+    if (compareHeads(inForce(), identity) != HeadDecision::Newer) {
+        return bundle;
+    }
+    for (const auto &[bucket, digest] : head.chunks_) {
+        const auto known = present->chunks_.find(digest);
+        if (known != present->chunks_.end()) {
+            bundle.chunks_.insert(*known);
+            continue;
+        }
+        {
+            const auto lock = absl::MutexLock(&mutex_);
+            ++counts_.storeCalls_;
+        }
+        BOOST_LEAF_AUTO(entry, services_.store_.get_(chunkKeyPrefix + digest));
+        bundle.chunks_[digest] = entry.value_;
+    }
+    return bundle;
+}
+
+auto ConfigurationFollower::pollHostList() -> void
+{
+    hostListReadAt_ = monotonicNow();
+    const auto outcome = attempt([&] {
+        return services_.store_.hostList_();
+    });
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        ++counts_.storeCalls_;
+    }
+    const auto *list = std::get_if<HostList>(&outcome);
+    if (list == nullptr) {
+        const auto lock = absl::MutexLock(&mutex_);
+        ++counts_.storeFailures_;
+        return;
+    }
+    takeHostList(list->sequence_, leavingMachines(*list));
+}
+
+auto ConfigurationFollower::takeHostList(std::int64_t sequence, const std::vector<std::string> &machines) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    if (sequence <= hostListSequence_) {
+        return;
+    }
+    hostListSequence_ = sequence;
+    leavingMachines_ = machines;
+    // Called under the lock, so that an older list can't overtake a newer one.
+    services_.leavingBackends_(leavingBackendsOf(machines, *services_.configuration_->get()));
+}
+
+auto ConfigurationFollower::followPeers() -> void
+{
+    while (const auto offer = waitForOffer()) {
+        fetchFrom(*offer);
+    }
+}
+
+auto ConfigurationFollower::waitForOffer() -> std::optional<Offer>
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    while (!offer_ && !stopping_) {
+        changed_.Wait(&mutex_);
+    }
+    if (stopping_) {
+        return std::nullopt;
+    }
+    return std::exchange(offer_, std::nullopt);
+}
+
+auto ConfigurationFollower::fetchFrom(const Offer &offer) -> void
+{
+    if (offer.revision_ <= inForce().revision_) {
+        return;
+    }
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        ++counts_.bundleFetches_;
+    }
+    const auto outcome = attempt([&]() -> Result<Bundle> {
+        BOOST_LEAF_AUTO(reply, services_.peers_->fetchBundle(offer.address_, offer.revision_, fetchTimeout));
+        if (reply.revision < offer.revision_) {
+            return makeError("fetch configuration from peer", offer.address_, "the peer no longer offers the revision");
+        }
+        BOOST_LEAF_AUTO(head, parseHead(reply.head));
+        return Bundle { head, std::move(reply.chunks) };
+    });
+    if (const auto *error = std::get_if<Error>(&outcome)) {
+        logLine(wallNow(), LogLevel::Warning, "configuration_not_read", { { "source", offer.address_ }, { "error", describe(*error) } });
+        return;
+    }
+    static_cast<void>(adopt(std::get<Bundle>(outcome), offer.address_));
+}
+
+auto ConfigurationFollower::adopt(Bundle bundle, const std::string &source) -> Adoption
+{
+    const auto adoption = absl::MutexLock(&adoptionMutex_);
+    const auto offered = identityOf(bundle.head_);
+    switch (compareHeads(inForce(), offered)) {
+    case HeadDecision::Same:
+        return Adoption::InForce;
+    case HeadDecision::Older:
+        return Adoption::Older;
+    case HeadDecision::Conflict:
+        refuse("conflict", offered, source, "another digest is in force for the same revision");
+        return Adoption::Refused;
+    case HeadDecision::Newer:
+        break;
+    }
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        if (offered == rejected_) {
+            return Adoption::Refused;
+        }
+    }
+    return putInForce(std::move(bundle), offered, source);
+}
+
+auto ConfigurationFollower::putInForce(Bundle bundle, const HeadIdentity &identity, const std::string &source) -> Adoption
+{
+    const auto unpacked = attempt([&] {
+        return unpackBundle(bundle);
+    });
+    if (const auto *error = std::get_if<Error>(&unpacked)) {
+        // Not remembered as rejected: another source may hold the chunks as written.
+        refuse("damaged", identity, source, describe(*error));
+        return Adoption::Refused;
+    }
+    auto checked = checkRules(std::get<RuleFiles>(unpacked));
+    if (!checked.problems_.empty()) {
+        refuse("wrong_rules", identity, source, describeProblems(checked.problems_));
+        const auto lock = absl::MutexLock(&mutex_);
+        rejected_ = identity;
+        return Adoption::Refused;
+    }
+    checked.configuration_.revision_ = identity.revision_;
+    checked.configuration_.digest_ = identity.digest_;
+    const auto next = std::make_shared<const Configuration>(std::move(checked.configuration_));
+    services_.prepare_(next);
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        bundle_ = std::make_shared<const Bundle>(std::move(bundle));
+        ++counts_.adopted_;
+    }
+    services_.configuration_->advance(next);
+    services_.leavingBackends_(leavingBackends(*next));
+    services_.knowledge_->removeShownWithdrawals(*next);
+    logConfiguration(LogLevel::Info, "configuration_in_force", identity, source, "");
+    services_.membership_->exchangeSoon(monotonicNow());
+    return Adoption::InForce;
+}
+
+auto ConfigurationFollower::refuse(const char *reason, const HeadIdentity &offered, const std::string &source, const std::string &detail) -> void
+{
+    const auto alarm = fmt::format("{} {} {} {}", reason, offered.revision_, offered.digest_, source);
+    const auto now = monotonicNow();
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        ++counts_.refusedHeads_;
+        if (alarm == lastAlarm_ && now - lastAlarmAt_ < alarmRepeat) {
+            return;
+        }
+        lastAlarm_ = alarm;
+        lastAlarmAt_ = now;
+    }
+    const auto present = std::to_string(inForce().revision_);
+    logLine(wallNow(),
+            LogLevel::Error,
+            "configuration_refused",
+            { { "reason", reason },
+              { "revision", std::to_string(offered.revision_) },
+              { "digest", offered.digest_ },
+              { "in_force", present },
+              { "source", source },
+              { "detail", detail } });
+}
+
+auto ConfigurationFollower::inForce() const -> HeadIdentity
+{
+    const auto configuration = services_.configuration_->get();
+    return HeadIdentity { configuration->revision_, configuration->digest_ };
+}
+
+auto ConfigurationFollower::pause(absl::Duration time) -> void
+{
+    const auto until = monotonicNow() + time;
+    const auto lock = absl::MutexLock(&mutex_);
+    for (auto now = monotonicNow(); !stopping_ && now < until; now = monotonicNow()) {
+        changed_.WaitWithTimeout(&mutex_, until - now);
+    }
+}
+
+auto ConfigurationFollower::isStopping() const -> bool
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return stopping_;
+}
+
+}
--- /dev/null
+++ b/libraries/process/configurationfollowertest.cpp
@@ -0,0 +1,72 @@
+#include "process/configurationfollower.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+struct FollowCase
+{
+    std::string description_;
+    FollowFacts facts_;
+    bool expected_;
+};
+
+struct HeadCase
+{
+    HeadIdentity offered_;
+    HeadDecision expected_;
+};
+
+}
+
+// Guards against a watch from every host of a large fleet, and against a zone that nobody follows for.
+TEST_CASE("the first two available hosts of a zone follow the store")
+{
+    const auto recent = absl::Seconds(1);
+    const auto ageing = absl::Seconds(3);
+    const auto freshness = absl::Seconds(4);
+    const auto cases = std::vector<FollowCase> {
+        { "no configuration", { 0, false, 5, false, absl::InfiniteDuration(), freshness }, true },
+        { "not declared", { 3, false, 5, false, recent, freshness }, true },
+        { "first", { 3, true, 0, false, recent, freshness }, true },
+        { "second", { 3, true, 1, false, recent, freshness }, true },
+        { "third", { 3, true, 2, false, recent, freshness }, false },
+        { "third, ageing, elsewhere", { 3, true, 2, false, ageing, freshness }, false },
+        { "third, ageing, in a store zone", { 3, true, 2, true, ageing, freshness }, true },
+        { "third, recent, in a store zone", { 3, true, 2, true, recent, freshness }, false },
+    };
+    for (const auto &followCase : cases) {
+        CAPTURE(followCase.description_);
+        CHECK(followsStore(followCase.facts_) == followCase.expected_);
+    }
+}
+
+// Guards against a configuration that reverts or differs between hosts under one revision number.
+TEST_CASE("only a higher revision is newer")
+{
+    const auto inForce = HeadIdentity { 5, "five" };
+    const auto cases = std::vector<HeadCase> {
+        { { 6, "six" }, HeadDecision::Newer },  { { 5, "five" }, HeadDecision::Same }, { { 5, "other" }, HeadDecision::Conflict },
+        { { 4, "four" }, HeadDecision::Older }, { { 0, "" }, HeadDecision::Older },
+    };
+    for (const auto &headCase : cases) {
+        CAPTURE(headCase.offered_.revision_);
+        CAPTURE(headCase.offered_.digest_);
+        CHECK(compareHeads(inForce, headCase.offered_) == headCase.expected_);
+    }
+}
+
+// Guards against a leaving machine that keeps getting requests because it is listed under its address.
+TEST_CASE("leaving backend servers are found by name and by address")
+{
+    auto configuration = Configuration {};
+    auto pool = Pool {};
+    pool.backends_ = { { "b1", "z", "127.0.0.1:1" }, { "b2", "z", "127.0.0.1:2" }, { "b3", "z", "127.0.0.1:3" } };
+    configuration.pools_ = { pool };
+    const auto list = HostList { 4, { { "b1", "", true }, { "machine-2", "127.0.0.1:2", true }, { "b3", "127.0.0.1:3", false } } };
+    CHECK(leavingMachines(list) == std::vector<std::string> { "127.0.0.1:2", "b1", "machine-2" });
+    CHECK(leavingBackendsOf(leavingMachines(list), configuration) == std::vector<std::string> { "b1", "b2" });
+}
--- a/libraries/process/knowledge.cpp
+++ b/libraries/process/knowledge.cpp
@@ -1,6 +1,7 @@
 #include "process/knowledge.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -39,8 +40,8 @@
     });
 }
 
-/** Whether a withdrawal still has to be kept beside the configuration. */
-auto isActive(const Configuration &configuration, const std::string &digest)
+/** Whether the configuration holds a key with this digest as active. */
+auto isActive(const Configuration &configuration, const std::string &digest) -> bool
 {
     return std::any_of(configuration.keys_.begin(), configuration.keys_.end(), [&](const Key &key) {
         return key.digest_ == digest && key.active_;
@@ -87,6 +88,15 @@
     return freshness / 2;
 }
 
+auto withdrawalsNotShown(const std::vector<peer::Withdrawal> &withdrawals, const Configuration &configuration) -> std::vector<peer::Withdrawal>
+{
+    auto kept = std::vector<peer::Withdrawal> {};
+    std::copy_if(withdrawals.begin(), withdrawals.end(), std::back_inserter(kept), [&](const peer::Withdrawal &withdrawal) {
+        return configuration.revision_ == 0 || isActive(configuration, withdrawal.digest);
+    });
+    return kept;
+}
+
 Knowledge::Knowledge(std::string zone)
     : zone_(std::move(zone))
 {
@@ -141,12 +151,14 @@
     return now - storeAnsweredAt_ <= bound;
 }
 
-auto Knowledge::addWithdrawals(const std::vector<peer::Withdrawal> &withdrawals) -> void
+auto Knowledge::addWithdrawals(const std::vector<peer::Withdrawal> &withdrawals) -> bool
 {
     const auto lock = absl::MutexLock(&mutex_);
+    auto added = false;
     for (const auto &withdrawal : withdrawals) {
-        withdrawnDigests_[withdrawal.digest] = withdrawal.keyId;
+        added |= withdrawnDigests_.try_emplace(withdrawal.digest, withdrawal.keyId).second;
     }
+    return added;
 }
 
 auto Knowledge::removeShownWithdrawals(const Configuration &configuration) -> void
--- a/libraries/process/knowledge.h
+++ b/libraries/process/knowledge.h
@@ -60,6 +60,9 @@
  * turned before the first host's knowledge becomes stale. */
 [[nodiscard]] auto reachableBound(absl::Duration freshness) -> absl::Duration;
 
+/** The withdrawals of keys that a configuration still holds as active; all of them when it is not a stored revision. */
+[[nodiscard]] auto withdrawalsNotShown(const std::vector<peer::Withdrawal> &withdrawals, const Configuration &configuration) -> std::vector<peer::Withdrawal>;
+
 /** Tracks knowledge age and pending withdrawals. Thread-safe. Times are monotonic. */
 class Knowledge
 {
@@ -82,8 +85,8 @@
     /** Whether the store itself answered this host within the bound. */
     [[nodiscard]] auto storeReachable(absl::Time now, absl::Duration bound) const -> bool;
 
-    /** Records withdrawals that the configuration may not show yet. */
-    auto addWithdrawals(const std::vector<peer::Withdrawal> &withdrawals) -> void;
+    /** Records withdrawals that the configuration may not show yet. Says whether one of them is new. */
+    auto addWithdrawals(const std::vector<peer::Withdrawal> &withdrawals) -> bool;
 
     /** Forgets the withdrawals of keys that the configuration no longer holds as active. */
     auto removeShownWithdrawals(const Configuration &configuration) -> void;
--- a/libraries/process/knowledgetest.cpp
+++ b/libraries/process/knowledgetest.cpp
@@ -108,7 +108,8 @@
     withdrawal.keyId = "key-1";
     withdrawal.digest = "d1";
     auto knowledge = Knowledge();
-    knowledge.addWithdrawals({ withdrawal });
+    CHECK(knowledge.addWithdrawals({ withdrawal }));
+    CHECK_FALSE(knowledge.addWithdrawals({ withdrawal }));
     auto configuration = Configuration {};
     configuration.keys_ = { Key { "key-1", "org", "d1", true } };
     knowledge.removeShownWithdrawals(configuration);
@@ -118,3 +119,18 @@
     knowledge.removeShownWithdrawals(configuration);
     CHECK_FALSE(knowledge.isWithdrawn("d1"));
 }
+
+// Guards against a withdrawal that peers with older revisions bring back after it was forgotten, over and over.
+TEST_CASE("withdrawals that the configuration shows are left out")
+{
+    auto withdrawal = peer::Withdrawal {};
+    withdrawal.digest = "d1";
+    auto configuration = Configuration {};
+    CHECK(withdrawalsNotShown({ withdrawal }, configuration).size() == 1);
+    configuration.revision_ = 3;
+    CHECK(withdrawalsNotShown({ withdrawal }, configuration).empty());
+    configuration.keys_ = { Key { "key-1", "org", "d1", true } };
+    CHECK(withdrawalsNotShown({ withdrawal }, configuration).size() == 1);
+    configuration.keys_[0].active_ = false;
+    CHECK(withdrawalsNotShown({ withdrawal }, configuration).empty());
+}
--- /dev/null
+++ b/libraries/process/peerhandler.cpp
@@ -0,0 +1,40 @@
+#include "process/peerhandler.h"
+
+#include "core/clock.h"
+
+namespace lycheecleat
+{
+
+PeerHandler::PeerHandler(PeerServices services)
+    : services_(services)
+{
+}
+
+auto PeerHandler::exchange(peer::HostState &reply, const peer::HostState &sender) -> void
+{
+    services_.membership_->receive(monotonicNow(), sender);
+    reply = services_.membership_->ownState();
+}
+
+auto PeerHandler::fetchBundle(peer::ConfigurationBundle &reply, std::int64_t revision) -> void
+{
+    reply = services_.follower_->bundleFor(revision);
+}
+
+auto PeerHandler::borrowRate(peer::RateLoan &reply, const std::string &borrower, std::int64_t revision, const std::string &limit, double rate, double burst)
+    -> void
+{
+    reply = services_.shares_->lendRate(monotonicNow(), borrower, revision, limit, rate, burst);
+}
+
+auto PeerHandler::borrowSlots(peer::SlotLoan &reply, const std::string &borrower, std::int64_t revision, const std::string &pool, std::int32_t count) -> void
+{
+    reply = services_.shares_->lendSlots(monotonicNow(), borrower, revision, pool, count);
+}
+
+auto PeerHandler::forward(peer::ForwardedAnswer &reply, const peer::ForwardedRequest &request) -> void
+{
+    reply = services_.requests_->handleForwarded(request);
+}
+
+}
--- /dev/null
+++ b/libraries/process/peerhandler.h
@@ -0,0 +1,39 @@
+/** Passes peers' calls on to the parts of the process that answer them. */
+#pragma once
+
+#include "generated/Peer.h"
+#include "process/configurationfollower.h"
+#include "process/membership.h"
+#include "process/requesthandler.h"
+#include "process/sharekeeper.h"
+
+namespace lycheecleat
+{
+
+/** The parts that answer peers' calls; all outlive the handler. */
+struct PeerServices
+{
+    Membership *membership_ = nullptr;
+    ConfigurationFollower *follower_ = nullptr;
+    ShareKeeper *shares_ = nullptr;
+    RequestHandler *requests_ = nullptr;
+};
+
+/** Answers peers' calls. Thread-safe. */
+class PeerHandler : public peer::PeerIf
+{
+public:
+    explicit PeerHandler(PeerServices services);
+
+    auto exchange(peer::HostState &reply, const peer::HostState &sender) -> void override;
+    auto fetchBundle(peer::ConfigurationBundle &reply, std::int64_t revision) -> void override;
+    auto borrowRate(peer::RateLoan &reply, const std::string &borrower, std::int64_t revision, const std::string &limit, double rate, double burst)
+        -> void override;
+    auto borrowSlots(peer::SlotLoan &reply, const std::string &borrower, std::int64_t revision, const std::string &pool, std::int32_t count) -> void override;
+    auto forward(peer::ForwardedAnswer &reply, const peer::ForwardedRequest &request) -> void override;
+
+private:
+    PeerServices services_;
+};
+
+}
