--- /dev/null
+++ b/libraries/connection/administrationclient.cpp
@@ -0,0 +1,61 @@
+#include "connection/administrationclient.h"
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto callStep = "call administration API";
+constexpr auto statusOk = 200;
+constexpr auto statusAccepted = 202;
+
+/** A daemon answers a withdrawal once it is confirmed, at the latest after 2 s. */
+constexpr auto withdrawalWait = absl::Seconds(2);
+
+auto makeClient(const AdministrationAddress &daemon, absl::Duration timeout) -> httplib::Client
+{
+    auto client = httplib::Client("http://" + daemon.address_);
+    const auto limit = absl::ToChronoMilliseconds(timeout);
+    client.set_connection_timeout(limit);
+    client.set_read_timeout(limit);
+    client.set_write_timeout(limit);
+    if (!daemon.operatorKey_.empty()) {
+        client.set_bearer_token_auth(daemon.operatorKey_);
+    }
+    return client;
+}
+
+auto bodyOf(const AdministrationAddress &daemon, const httplib::Result &answer) -> Result<std::string>
+{
+    if (!answer) {
+        return makeError(callStep, daemon.address_, "no answer: " + httplib::to_string(answer.error()));
+    }
+    if (answer->status != statusOk && answer->status != statusAccepted) {
+        return makeError(callStep, daemon.address_, fmt::format("status {}: {}", answer->status, answer->body));
+    }
+    return answer->body;
+}
+
+}
+
+auto fetchHostStatus(const AdministrationAddress &daemon) -> Result<HostStatus>
+{
+    auto client = makeClient(daemon, daemon.timeout_);
+    BOOST_LEAF_AUTO(body, bodyOf(daemon, client.Get("/v1/status")));
+    return parseHostStatus(body);
+}
+
+auto submitWithdrawal(const AdministrationAddress &daemon, const std::string &keyName) -> Result<WithdrawalStatus>
+{
+    auto client = makeClient(daemon, daemon.timeout_ + withdrawalWait);
+    const auto body = nlohmann::json { { "key", keyName } }.dump();
+    BOOST_LEAF_AUTO(answer, bodyOf(daemon, client.Post("/v1/withdrawals", body, "application/json")));
+    return parseWithdrawalStatus(answer);
+}
+
+}
--- /dev/null
+++ b/libraries/connection/administrationclient.h
@@ -0,0 +1,32 @@
+/** Calls a daemon's administration API. */
+#pragma once
+
+#include "connection/hoststatus.h"
+#include "core/error.h"
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace lycheecleat
+{
+
+/** Which daemon to call, and how. */
+struct AdministrationAddress
+{
+    /** IP address and port. */
+    std::string address_;
+    /** Sent as `Authorization: Bearer`; empty when the daemon serves operators on loopback only. */
+    std::string operatorKey_;
+    absl::Duration timeout_ = absl::Seconds(1);
+
+    auto operator==(const AdministrationAddress &other) const -> bool = default;
+};
+
+/** Reads a daemon's status. Errors: no answer in time, refused, malformed answer. */
+[[nodiscard]] auto fetchHostStatus(const AdministrationAddress &daemon) -> Result<HostStatus>;
+
+/** Submits the withdrawal of a key to a daemon. Errors: as above; the daemon may then hold the withdrawal. */
+[[nodiscard]] auto submitWithdrawal(const AdministrationAddress &daemon, const std::string &keyName) -> Result<WithdrawalStatus>;
+
+}
--- /dev/null
+++ b/libraries/connection/hoststatus.cpp
@@ -0,0 +1,117 @@
+#include "connection/hoststatus.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr auto parseStep = "parse administration answer";
+
+auto parsePeer(const Json &json) -> PeerStatus
+{
+    auto peer = PeerStatus {};
+    peer.name_ = json.at("name").get<std::string>();
+    peer.zone_ = json.at("zone").get<std::string>();
+    peer.revision_ = json.at("revision").get<std::int64_t>();
+    peer.age_ = absl::Milliseconds(json.at("age_ms").get<double>());
+    return peer;
+}
+
+/** The newest knowledge of one host. */
+struct KnownHost
+{
+    std::string zone_;
+    std::int64_t revision_ = 0;
+};
+
+auto noteHost(std::map<std::string, KnownHost> &hosts, const std::string &name, const KnownHost &seen) -> void
+{
+    auto &known = hosts[name];
+    known.zone_ = seen.zone_;
+    // A host never goes back to a lower revision, so the highest report is the newest.
+    known.revision_ = std::max(known.revision_, seen.revision_);
+}
+
+auto liveHosts(const std::vector<HostStatus> &statuses) -> std::map<std::string, KnownHost>
+{
+    auto hosts = std::map<std::string, KnownHost> {};
+    for (const auto &status : statuses) {
+        noteHost(hosts, status.host_, { status.zone_, status.revision_ });
+        for (const auto &peer : status.peers_) {
+            if (peer.age_ <= longestPeerAge) {
+                noteHost(hosts, peer.name_, { peer.zone_, peer.revision_ });
+            }
+        }
+    }
+    return hosts;
+}
+
+auto isConfirmed(const std::map<std::string, KnownHost> &hosts, const std::string &zone, std::int64_t revision) -> bool
+{
+    auto live = 0;
+    for (const auto &entry : hosts) {
+        if (entry.second.zone_ != zone) {
+            continue;
+        }
+        if (entry.second.revision_ < revision) {
+            return false;
+        }
+        ++live;
+    }
+    return live > 0;
+}
+
+}
+
+auto parseHostStatus(const std::string &text) -> Result<HostStatus>
+{
+    try {
+        const auto json = Json::parse(text);
+        auto status = HostStatus {};
+        status.host_ = json.at("host").get<std::string>();
+        status.zone_ = json.at("zone").get<std::string>();
+        status.revision_ = json.at("revision").get<std::int64_t>();
+        for (const auto &peer : json.at("peers")) {
+            status.peers_.push_back(parsePeer(peer));
+        }
+        return status;
+    } catch (const Json::exception &exception) {
+        return makeError(parseStep, "", exception.what());
+    }
+}
+
+auto parseWithdrawalStatus(const std::string &text) -> Result<WithdrawalStatus>
+{
+    try {
+        const auto json = Json::parse(text);
+        auto status = WithdrawalStatus {};
+        status.accepted_ = json.at("accepted").get<bool>();
+        status.confirmedZones_ = json.at("confirmed_zones").get<std::vector<std::string>>();
+        status.zones_ = json.at("zones").get<std::vector<std::string>>();
+        return status;
+    } catch (const Json::exception &exception) {
+        return makeError(parseStep, "", exception.what());
+    }
+}
+
+auto unconfirmedZones(const std::vector<std::string> &zones, const std::vector<HostStatus> &statuses, std::int64_t revision) -> std::vector<std::string>
+{
+    const auto hosts = liveHosts(statuses);
+    auto missing = std::vector<std::string> {};
+    for (const auto &zone : zones) {
+        if (!isConfirmed(hosts, zone, revision)) {
+            missing.push_back(zone);
+        }
+    }
+    return missing;
+}
+
+}
