Add pull, diff, explain, status, drain and shift, and wait for zones

Operators need to see and change what is in force without editing the store by hand. Tried by hand against the store stand-in; the administration calls were tried only against an address that does not answer.

--- a/utilities/lycheecleat/keygrantcommand.cpp
+++ b/utilities/lycheecleat/keygrantcommand.cpp
@@ -1,6 +1,5 @@
 #include "commands.h"
 
-#include "connection/configurationstore.h"
 #include "core/digest.h"
 #include "process/settings.h"
 #include "store.h"
@@ -30,12 +29,15 @@
     const auto rule = Key { makeKeyName(organisation), organisation, hmacHex(secret, key), true };
     const auto file = keyFile(rule);
     printProgress(fmt::format("storing key {} as {}; withdraw it if this command does not succeed", rule.name_, file.name_));
-    auto store = StoreClient(storeSettings(arguments));
-    BOOST_LEAF_AUTO(revision, applyEdits(store, { { file.name_, std::nullopt, file.content_ } }, makeChangeId("key-grant")));
-    auto report = Report {};
-    report.json_ = { { "name", rule.name_ }, { "key", key }, { "organisation", organisation }, { "revision", revision } };
-    constexpr auto text = "name {}\nkey {}\nrevision {}\nThe key is not stored and is shown only this once.\n";
-    report.text_ = fmt::format(text, rule.name_, key, revision);
+    BOOST_LEAF_AUTO(report, applyAndConfirm(arguments, { { file.name_, std::nullopt, file.content_ } }, "key-grant"));
+    report.json_.update({ { "name", rule.name_ }, { "key", key }, { "organisation", organisation } });
+    constexpr auto text = "name {}\nkey {}\nThe key is not stored and is shown only this once.\n";
+    // The key goes to standard output also when a zone has not confirmed, since it is stored and can't be shown again.
+    if (report.code_ != ExitCode::Success && !isGiven(arguments, "--json")) {
+        fmt::print(text, rule.name_, key);
+        return report;
+    }
+    report.text_ = fmt::format(text, rule.name_, key) + report.text_;
     return report;
 }
 
--- a/utilities/lycheecleat/keywithdrawcommand.cpp
+++ b/utilities/lycheecleat/keywithdrawcommand.cpp
@@ -1,11 +1,11 @@
 #include "commands.h"
 
-#include "connection/configurationstore.h"
 #include "store.h"
 #include "version/keyfile.h"
 #include "version/rulefolder.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 
@@ -35,20 +35,79 @@
     return FileEdit { fileName, file->content_, keyFile(withdrawn).content_ };
 }
 
+/** Withdraws the key in the store. */
+auto withdrawInStore(const Arguments &arguments, const std::string &name) -> Result<Report>
+{
+    BOOST_LEAF_AUTO(stored, readStoredFiles(arguments));
+    BOOST_LEAF_AUTO(edit, makeWithdrawal(stored.files_, name));
+    return applyAndConfirm(arguments, { edit }, "key-withdraw");
 }
 
-auto runKeyWithdraw(const Arguments &arguments) -> Result<Report>
+/** Submits the withdrawal to one daemon and describes the answer. Gives whether the withdrawal is accepted. */
+auto withdrawAt(const AdministrationAddress &daemon, const std::string &name, Report &report) -> bool
+{
+    const auto outcome = attempt([&]() {
+        return submitWithdrawal(daemon, name);
+    });
+    if (const auto *error = std::get_if<Error>(&outcome)) {
+        report.text_ += describe(*error) + "\n";
+        report.json_["hosts"].push_back({ { "address", daemon.address_ }, { "error", error->message_ } });
+        return false;
+    }
+    const auto &status = std::get<WithdrawalStatus>(outcome);
+    constexpr auto line = "{}: {}; confirmed by {} of {} zones: {}\n";
+    const auto *verdict = status.accepted_ ? "accepted" : "not accepted yet";
+    report.text_ += fmt::format(line, daemon.address_, verdict, status.confirmedZones_.size(), status.zones_.size(), fmt::join(status.confirmedZones_, ", "));
+    report.json_["hosts"].push_back(
+        { { "address", daemon.address_ }, { "accepted", status.accepted_ }, { "confirmed_zones", status.confirmedZones_ }, { "zones", status.zones_ } });
+    return status.accepted_;
+}
+
+auto withdrawAtDaemons(const std::vector<AdministrationAddress> &daemons, const std::string &name) -> Report
 {
-    const auto name = textOf(arguments, "NAME");
-    auto store = StoreClient(storeSettings(arguments));
-    BOOST_LEAF_AUTO(bundle, readBundle(store));
-    BOOST_LEAF_AUTO(files, unpackBundle(bundle));
-    BOOST_LEAF_AUTO(edit, makeWithdrawal(files, name));
-    BOOST_LEAF_AUTO(revision, applyEdits(store, { edit }, makeChangeId("key-withdraw")));
     auto report = Report {};
-    report.json_ = { { "name", name }, { "revision", revision } };
-    report.text_ = fmt::format("withdrew key {} in revision {}\n", name, revision);
+    auto accepted = false;
+    for (const auto &daemon : daemons) {
+        accepted = withdrawAt(daemon, name, report) || accepted;
+    }
+    report.code_ = accepted ? ExitCode::Success : ExitCode::Unreachable;
+    report.json_["accepted"] = accepted;
     return report;
 }
 
+/** Joins the reports. A withdrawal that either the store or the hosts accepted is in force. */
+auto joinReports(const Report &hosts, const Report &store) -> Report
+{
+    auto joined = store;
+    joined.text_ = hosts.text_ + store.text_;
+    joined.json_.update(hosts.json_);
+    if (hosts.code_ == ExitCode::Success && store.code_ == ExitCode::Unreachable) {
+        joined.code_ = ExitCode::Success;
+        joined.text_ += "the hosts hold the withdrawal; repeat the command when the store answers, since hosts that restart learn it from the store\n";
+    }
+    return joined;
+}
+
+}
+
+auto runKeyWithdraw(const Arguments &arguments) -> Result<Report>
+{
+    const auto name = textOf(arguments, "NAME");
+    BOOST_LEAF_AUTO(daemons, daemonsOf(arguments));
+    const auto inStore = isGiven(arguments, "--store");
+    if (!inStore && daemons.empty()) {
+        return makeError(requestStep, name, "give --store, --admin or both");
+    }
+    // The hosts come first: a withdrawal must not wait for a store that is down.
+    const auto hosts = withdrawAtDaemons(daemons, name);
+    if (!inStore) {
+        return hosts;
+    }
+    const auto outcome = attempt([&]() {
+        return withdrawInStore(arguments, name);
+    });
+    const auto *error = std::get_if<Error>(&outcome);
+    return joinReports(hosts, error == nullptr ? std::get<Report>(outcome) : reportError(*error));
+}
+
 }
--- a/utilities/lycheecleat/main.cpp
+++ b/utilities/lycheecleat/main.cpp
@@ -18,16 +18,39 @@
 
 Usage:
   lycheecleat check DIR [--json]
-  lycheecleat apply DIR --store ADDR [--json]
-  lycheecleat key grant ORGANISATION --store ADDR --secret-file FILE [--json]
-  lycheecleat key withdraw NAME --store ADDR [--json]
+  lycheecleat apply DIR --store ADDR [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
+  lycheecleat pull DIR --store ADDR [--json]
+  lycheecleat diff DIR [--store ADDR] [--json]
+  lycheecleat explain (--folder DIR | --store ADDR) --host HOST --path PATH [--method METHOD] [--json]
+  lycheecleat status --admin ADDR [--admin ADDR]... [--operator-key-file FILE] [--json]
+  lycheecleat drain TARGET --store ADDR [--undo] [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
+  lycheecleat shift NAME --undo --store ADDR [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
+  lycheecleat shift NAME --pool POOL --from REGION --to REGION --share PERCENT --cap RATE --store ADDR [--start TIME] [--over DURATION]
+                    [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
+  lycheecleat key grant ORGANISATION --store ADDR --secret-file FILE [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
+  lycheecleat key withdraw NAME [--store ADDR] [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
   lycheecleat --help
 
 Options:
-  --store ADDR        IP address and port of the store.
-  --secret-file FILE  File with the fleet secret, under which keys are digested.
-  --json              Write the result as JSON.
-  --help              Show this text.
+  --store ADDR              IP address and port of the store.
+  --admin ADDR              IP address and port of a daemon's administration API; may be repeated.
+  --operator-key-file FILE  File with the operator key that the daemons ask for.
+  --secret-file FILE        File with the fleet secret, under which keys are digested.
+  --wait DURATION           How long to wait until every zone confirms a change. [default: 6s]
+  --folder DIR              Folder with rules.
+  --host HOST               Host header of a request.
+  --path PATH               Path of a request.
+  --method METHOD           Method of a request. [default: GET]
+  --pool POOL               Pool whose requests a shift moves.
+  --from REGION             Region whose requests a shift moves.
+  --to REGION               Region whose backend servers take them.
+  --share PERCENT           Share of the requests to move, such as 30%.
+  --cap RATE                Most requests that may be moved, such as 40/s.
+  --start TIME              When the shift starts, such as 2026-03-01T06:00:00Z; now if not given.
+  --over DURATION           Time over which the shift grows to its share. [default: 10m]
+  --undo                    Remove the drain or shift.
+  --json                    Write the result as JSON.
+  --help                    Show this text.
 
 Exit codes: 0 success, 1 the rules or the request are wrong, 2 usage, 3 store or host unreachable, 4 conflict with another edit.
 )";
@@ -37,10 +60,8 @@
 auto findCommand(const Arguments &arguments) -> Command
 {
     const auto commands = std::vector<std::pair<std::string, Command>> {
-        { "check", runCheck },
-        { "apply", runApply },
-        { "grant", runKeyGrant },
-        { "withdraw", runKeyWithdraw },
+        { "check", runCheck },   { "apply", runApply }, { "pull", runPull },   { "diff", runDiff },      { "explain", runExplain },
+        { "status", runStatus }, { "drain", runDrain }, { "shift", runShift }, { "grant", runKeyGrant }, { "withdraw", runKeyWithdraw },
     };
     for (const auto &[name, command] : commands) {
         if (isGiven(arguments, name)) {
--- a/utilities/lycheecleat/report.cpp
+++ b/utilities/lycheecleat/report.cpp
@@ -3,6 +3,7 @@
 #include "connection/configurationstore.h"
 #include "version/bundle.h"
 #include "version/folderstate.h"
+#include "version/operatoredits.h"
 #include "version/rulefolder.h"
 
 #include <fmt/format.h>
@@ -22,7 +23,7 @@
 auto codeOf(const Error &error) -> ExitCode
 {
     constexpr auto wrongSteps =
-        std::array<std::string_view, 7> { checkStep, packStep, readFolderStep, folderStateStep, requestStep, "read secret", "read file" };
+        std::array<std::string_view, 8> { checkStep, packStep, readFolderStep, folderStateStep, requestStep, editStep, "read secret", "read file" };
     if (error.step_ == mergeStep || error.step_ == swapStep) {
         return ExitCode::Conflict;
     }
--- a/utilities/lycheecleat/store.cpp
+++ b/utilities/lycheecleat/store.cpp
@@ -1,14 +1,159 @@
 #include "store.h"
 
+#include "connection/configurationstore.h"
+#include "core/clock.h"
 #include "core/digest.h"
+#include "process/settings.h"
+#include "version/rulefolder.h"
+#include "version/units.h"
+
+#include <absl/time/clock.h>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <set>
 
 namespace lycheecleat
 {
 
+namespace
+{
+
+// An operator's command may wait longer than a daemon, which follows the store all the time.
+constexpr auto storeTimeout = absl::Seconds(2);
+constexpr auto pollInterval = absl::Milliseconds(100);
+
 auto makeChangeId(const std::string &command) -> std::string
 {
     constexpr auto randomBytes = 8;
     return command + "-" + randomHex(randomBytes);
 }
 
+auto waitOf(const Arguments &arguments) -> Result<absl::Duration>
+{
+    const auto text = textOf(arguments, "--wait");
+    const auto wait = parseDuration(text);
+    if (!wait) {
+        return makeError(requestStep, "--wait", fmt::format("'{}' is not allowed; allowed: a duration such as 6s", text));
+    }
+    return *wait;
+}
+
+/** Zones that have a declared entry host, sorted. */
+auto hostedZones(const RuleFiles &files) -> std::vector<std::string>
+{
+    auto zones = std::vector<std::string> {};
+    for (const auto &host : checkRules(files).configuration_.entryHosts_) {
+        zones.push_back(host.zone_);
+    }
+    std::sort(zones.begin(), zones.end());
+    zones.erase(std::unique(zones.begin(), zones.end()), zones.end());
+    return zones;
+}
+
+/** Prints a progress line unless it has been printed before. */
+auto printOnce(std::set<std::string> &printed, const std::string &line) -> void
+{
+    if (printed.insert(line).second) {
+        printProgress(line);
+    }
+}
+
+auto answersOf(const std::vector<AdministrationAddress> &daemons, std::set<std::string> &printed) -> std::vector<HostStatus>
+{
+    auto answers = std::vector<HostStatus> {};
+    for (const auto &daemon : daemons) {
+        const auto outcome = attempt([&]() {
+            return fetchHostStatus(daemon);
+        });
+        if (const auto *status = std::get_if<HostStatus>(&outcome)) {
+            answers.push_back(*status);
+        } else {
+            printOnce(printed, describe(std::get<Error>(outcome)));
+        }
+    }
+    return answers;
+}
+
+/** Polls the daemons until every zone has the revision or the time is over, and gives the zones that are missing. */
+auto waitForZones(const std::vector<AdministrationAddress> &daemons, const std::vector<std::string> &zones, std::int64_t revision, absl::Duration wait)
+    -> std::vector<std::string>
+{
+    const auto deadline = monotonicNow() + wait;
+    auto printed = std::set<std::string> {};
+    while (true) {
+        const auto missing = unconfirmedZones(zones, answersOf(daemons, printed), revision);
+        if (missing.empty() || monotonicNow() >= deadline) {
+            return missing;
+        }
+        printOnce(printed, fmt::format("waiting for zones: {}", fmt::join(missing, ", ")));
+        absl::SleepFor(pollInterval);
+    }
+}
+
+/** Adds to the report whether every zone has the revision. A failure to find out is no error, since the change is stored. */
+auto addConfirmation(Report report, const Arguments &arguments, const std::vector<AdministrationAddress> &daemons, std::int64_t revision, absl::Duration wait)
+    -> Report
+{
+    printProgress(fmt::format("stored as revision {}", revision));
+    const auto stored = attempt([&]() {
+        return readStoredFiles(arguments);
+    });
+    if (const auto *error = std::get_if<Error>(&stored)) {
+        report.code_ = ExitCode::Unreachable;
+        report.text_ += fmt::format("revision {} is stored, but its zones could not be read: {}\n", revision, describe(*error));
+        return report;
+    }
+    const auto missing = waitForZones(daemons, hostedZones(std::get<StoredFiles>(stored).files_), revision, wait);
+    report.json_["unconfirmed_zones"] = missing;
+    if (missing.empty()) {
+        report.text_ += "in force in every zone\n";
+        return report;
+    }
+    report.code_ = ExitCode::Unreachable;
+    report.text_ +=
+        fmt::format("revision {} is stored, but was not confirmed within {} by the zones {}\n", revision, absl::FormatDuration(wait), fmt::join(missing, ", "));
+    return report;
+}
+
+}
+
+auto storeSettings(const Arguments &arguments) -> StoreSettings
+{
+    return { textOf(arguments, "--store"), storeTimeout };
+}
+
+auto daemonsOf(const Arguments &arguments) -> Result<std::vector<AdministrationAddress>>
+{
+    auto operatorKey = std::string {};
+    if (isGiven(arguments, "--operator-key-file")) {
+        BOOST_LEAF_ASSIGN(operatorKey, readSecret(textOf(arguments, "--operator-key-file")));
+    }
+    auto daemons = std::vector<AdministrationAddress> {};
+    for (const auto &address : listOf(arguments, "--admin")) {
+        daemons.push_back({ address, operatorKey });
+    }
+    return daemons;
+}
+
+auto readStoredFiles(const Arguments &arguments) -> Result<StoredFiles>
+{
+    auto store = StoreClient(storeSettings(arguments));
+    BOOST_LEAF_AUTO(bundle, readBundle(store));
+    BOOST_LEAF_AUTO(files, unpackBundle(bundle));
+    return StoredFiles { bundle.head_.revision_, files };
+}
+
+auto applyAndConfirm(const Arguments &arguments, const std::vector<FileEdit> &edits, const std::string &command) -> Result<Report>
+{
+    // Faults of the command line are found before anything is written.
+    BOOST_LEAF_AUTO(daemons, daemonsOf(arguments));
+    BOOST_LEAF_AUTO(wait, waitOf(arguments));
+    auto store = StoreClient(storeSettings(arguments));
+    BOOST_LEAF_AUTO(revision, applyEdits(store, edits, makeChangeId(command)));
+    auto report = Report { ExitCode::Success, fmt::format("revision {}\n", revision), { { "revision", revision } } };
+    return daemons.empty() ? report : addConfirmation(std::move(report), arguments, daemons, revision, wait);
+}
+
 }
--- a/utilities/lycheecleat/store.h
+++ b/utilities/lycheecleat/store.h
@@ -1,23 +1,41 @@
-/** Access to the store for commands. */
+/** Access to the store and to daemons for commands. */
 #pragma once
 
 #include "arguments.h"
+#include "connection/administrationclient.h"
 #include "connection/storeclient.h"
+#include "core/error.h"
+#include "report.h"
+#include "version/bundle.h"
+#include "version/rulefile.h"
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace lycheecleat
 {
 
-/** Settings of the store that the command line names. */
-[[nodiscard]] inline auto storeSettings(const Arguments &arguments) -> StoreSettings
+/** The files of one stored revision. */
+struct StoredFiles
 {
-    // An operator's command may wait longer than a daemon, which follows the store all the time.
-    constexpr auto timeout = absl::Seconds(2);
-    return { textOf(arguments, "--store"), timeout };
-}
+    std::int64_t revision_ = 0;
+    RuleFiles files_;
+};
+
+/** Settings of the store that the command line names. */
+[[nodiscard]] auto storeSettings(const Arguments &arguments) -> StoreSettings;
+
+/** The daemons that the command line names. Errors: the operator key file cannot be read. */
+[[nodiscard]] auto daemonsOf(const Arguments &arguments) -> Result<std::vector<AdministrationAddress>>;
+
+/** Reads all files from the store. Errors: the store gives no answer or is damaged. */
+[[nodiscard]] auto readStoredFiles(const Arguments &arguments) -> Result<StoredFiles>;
 
-/** A change id that no other change has; the word says which command made it. */
-[[nodiscard]] auto makeChangeId(const std::string &command) -> std::string;
+/**
+ * Applies edits, then waits until hosts of every zone confirm the revision if the command line names daemons. The word says which command
+ * made the change. The report holds the revision; its code is Unreachable when a zone did not confirm in time. Errors: as for applyEdits.
+ */
+[[nodiscard]] auto applyAndConfirm(const Arguments &arguments, const std::vector<FileEdit> &edits, const std::string &command) -> Result<Report>;
 
 }
