Claim idempotency keys in the store and count shifts, crashes and ejections

Cause: keys without a run token were refused; shifts, crash suspects, ejection and slow start had no effect on dispatch. Change: a key is claimed by create-if-absent once a slot is held, so a request without a slot costs the store nothing. A lost reply is resolved by reading; a claim that certainly did not run is released by compare-and-swap, and a small answer is written back. Where a pool has shifts, each region is asked for by itself, and every request to the target region takes a token of the cap, failover included.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -191,6 +191,7 @@
 {
     auto idle = takeIdle(call);
     const auto reused = idle.has_value();
+    const auto idleFor = reused ? monotonicNow() - idle->idleSince_ : absl::ZeroDuration();
     if (!idle) {
         const auto generation = generationOf(call.address_);
         auto connected = attempt([&] {
@@ -221,6 +222,7 @@
         received = receive(connection, settings_, request.method_, call.deadline_);
     }
     received.exchange_.connectionReused_ = reused;
+    received.exchange_.wasIdleForLong_ = idleFor > settings_.strictIdleLimit_;
     if (received.exchange_.status_ != ExchangeStatus::Whole) {
         // The reset tells the backend server that its work is no longer wanted.
         connection.abort();
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -61,6 +61,8 @@
     /** The backend server closes the connection; it may be about to leave. */
     bool closing_ = false;
     bool connectionReused_ = false;
+    /** The connection had been idle so long that the server may have been about to close it. */
+    bool wasIdleForLong_ = false;
     /** What went wrong, for log lines. */
     std::string detail_;
 };
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -1,6 +1,10 @@
 #include "process/dispatcher.h"
 
 #include "core/clock.h"
+#include "core/digest.h"
+#include "request/shiftdecision.h"
+
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <utility>
@@ -11,17 +15,20 @@
 namespace
 {
 
-// Attempts for which no byte was sent; more would only add delay when a whole zone is unreachable.
+/** Attempts for which no byte was sent; more would only add delay when a whole zone is unreachable. */
 constexpr auto maximumUnsentAttempts = 3;
 
 constexpr auto overloadedStatus = 503;
 
-// The part of the remaining time that a request may wait for a slot; the rest is left for running it.
+/** The part of the remaining time that a request may wait for a slot; the rest is left for running it. */
 constexpr auto waitingShare = 0.8;
 
-// The part of the remaining time after which a connection used before counts as silent; the rest is left for the retry.
+/** The part of the remaining time after which a connection used before counts as silent; the rest is left for the retry. */
 constexpr auto firstByteShare = 0.5;
 
+/** Bounds the memory of crash records under many different failing requests. */
+constexpr auto maximumCrashRecords = std::size_t { 1000 };
+
 auto refusalOf(ExchangeStatus status) -> Refusal
 {
     switch (status) {
@@ -38,116 +45,272 @@
     return Refusal::ResponseIncomplete;
 }
 
-auto contains(const std::vector<std::string> &names, const std::string &name) -> bool
+auto healthSignOf(const BackendExchange &exchange) -> HealthSign
+{
+    if (exchange.status_ == ExchangeStatus::Whole) {
+        return exchange.closing_ ? HealthSign::Closing : HealthSign::Good;
+    }
+    return exchange.status_ == ExchangeStatus::NotSent ? HealthSign::Absent : HealthSign::Bad;
+}
+
+auto fingerprintOf(const DispatchRequest &request) -> std::string
+{
+    const auto &content = request.content_;
+    // Lengths keep different requests from having one text.
+    const auto head = fmt::format("{} {} {} {} {}\n", request.organisation_, content.method_, content.target_.size(), content.target_, content.body_.size());
+    return sha256Hex(head + content.body_);
+}
+
+auto append(std::vector<std::string> &names, const std::vector<std::string> &added) -> void
+{
+    for (const auto &name : added) {
+        if (std::find(names.begin(), names.end(), name) == names.end()) {
+            names.push_back(name);
+        }
+    }
+}
+
+// Regions that hold backend servers of a pool, the given one first.
+auto regionsOf(const Configuration &configuration, const Pool &pool, const std::string &first) -> std::vector<std::string>
 {
-    return std::find(names.begin(), names.end(), name) != names.end();
+    auto regions = std::vector<std::string> { first };
+    for (const auto &backend : pool.backends_) {
+        append(regions, { regionOfZone(configuration, backend.zone_) });
+    }
+    return regions;
 }
 
 }
 
-Dispatcher::Dispatcher(ShareKeeper *shares)
-    : shares_(shares)
+struct Dispatcher::Run
+{
+    const DispatchRequest &request_;
+    const Pool &pool_;
+    DispatchResult result_;
+    std::vector<std::string> tried_;
+    std::uint64_t hash_ = 0;
+    int unsentAttempts_ = 0;
+    /** beforeSend_ has been called. */
+    bool isBegun_ = false;
+    /** A byte may have reached a backend server. */
+    bool isSent_ = false;
+    /** The one retry after that has been used. */
+    bool isRetried_ = false;
+};
+
+Dispatcher::Dispatcher(std::string zone, ShareKeeper *shares)
+    : zone_(std::move(zone))
+    , shares_(shares)
+    , crashes_(maximumCrashRecords)
 {
 }
 
 auto Dispatcher::dispatch(const DispatchRequest &request) -> DispatchResult
 {
-    auto result = DispatchResult {};
     const auto *pool = findByName(request.configuration_->pools_, request.route_->pool_);
+    auto refused = DispatchResult {};
     if (pool == nullptr) {
-        result.refusal_ = Refusal::NoCapacity;
-        return result;
+        refused.refusal_ = Refusal::NoCapacity;
+        return refused;
     }
-    {
-        const auto lock = absl::MutexLock(&mutex_);
-        retries_ = withRequest(retries_);
+    adoptConfiguration(monotonicNow(), request.configuration_);
+    if (isSuspect(request)) {
+        refused.refusal_ = Refusal::CrashSuspect;
+        return refused;
     }
-    auto tried = std::vector<std::string> {};
-    auto begun = false;
-    auto maySent = false;
-    auto unsentAttempts = 0;
+    auto run = Run { request, *pool, {}, {}, stableHash(request.requestId_) };
     while (true) {
-        const auto now = monotonicNow();
-        const auto excluded = excludedBackends(request, *pool, tried);
-        result.candidates_ = static_cast<int>(pool->backends_.size() - excluded.size());
-        const auto waitUntil = now + (request.deadline_ - now) * waitingShare;
-        const auto slotRequest = SlotRequest { pool->name_, request.organisation_, "", excluded, request.deadline_, waitUntil };
-        const auto grant = result.candidates_ > 0 && now < request.deadline_ ? shares_->takeSlot(now, slotRequest) : std::nullopt;
+        const auto grant = acquire(run);
         if (!grant) {
             // After an earlier attempt the result of that attempt stands.
-            if (!result.answer_ && !result.refusal_) {
-                result.refusal_ = Refusal::NoCapacity;
-            }
-            return result;
-        }
-        if (!begun && request.beforeSend_) {
-            const auto refusal = request.beforeSend_();
-            if (refusal) {
-                shares_->returnSlot(monotonicNow(), *grant, true);
-                result.refusal_ = refusal;
-                return result;
+            if (!run.result_.answer_ && !run.result_.refusal_) {
+                run.result_.refusal_ = Refusal::NoCapacity;
             }
+            return std::move(run.result_);
         }
-        begun = true;
-        const auto &backend = grant->backend_;
-        result.backend_ = backend.name_;
-        result.region_ = regionOfZone(*request.configuration_, backend.zone_);
-        result.attempts_ += 1;
-        auto call = BackendCall { backend.address_, std::min(request.deadline_, grant->deadline_), request.repeatable_ };
-        if (request.repeatable_) {
-            call.firstByteLimit_ = (call.deadline_ - monotonicNow()) * firstByteShare;
-        }
-        auto exchange = connections_.exchange(call, request.content_);
-        const auto certainlyEnded = exchange.status_ == ExchangeStatus::Whole || exchange.status_ == ExchangeStatus::NotSent;
-        shares_->returnSlot(monotonicNow(), *grant, certainlyEnded);
-        result.detail_ = std::string(exchangeStatusName(exchange.status_)) + (exchange.detail_.empty() ? "" : ": " + exchange.detail_);
-        tried.push_back(backend.name_);
-        if (exchange.status_ == ExchangeStatus::Silent || exchange.status_ == ExchangeStatus::TimedOut) {
-            // Other connections to the same server may be just as unresponsive.
-            connections_.closeIdle(backend.address_);
-        }
-        if (exchange.status_ == ExchangeStatus::Whole) {
-            result.answer_ = std::move(exchange.answer_);
-            result.refusal_.reset();
-            if (result.answer_->status_ != overloadedStatus || !request.repeatable_ || maySent || !takeRetry()) {
-                return result;
-            }
-            maySent = true;
-            continue;
+        if (isStopped(run, *grant) || isSettled(run, send(run, *grant))) {
+            return std::move(run.result_);
         }
-        if (!result.answer_ && (exchange.status_ != ExchangeStatus::NotSent || !maySent)) {
-            result.refusal_ = refusalOf(exchange.status_);
+    }
+}
+
+auto Dispatcher::adoptConfiguration(absl::Time now, const ConfigurationPointer &configuration) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    retries_ = withRequest(retries_);
+    // A request that began before the newest revision must not undo it.
+    const auto isNewer = !configuration_ || configuration->revision_ > configuration_->revision_;
+    if (isNewer) {
+        configuration_ = configuration;
+        health_.configure(now, *configuration, leaving_);
+    }
+}
+
+auto Dispatcher::isSuspect(const DispatchRequest &request) const -> bool
+{
+    {
+        const auto lock = absl::ReaderMutexLock(&mutex_);
+        if (crashes_.isEmpty()) {
+            return false;
         }
-        if (exchange.status_ == ExchangeStatus::NotSent) {
-            unsentAttempts += 1;
-            if (unsentAttempts >= maximumUnsentAttempts) {
-                return result;
-            }
-            continue;
+    }
+    const auto fingerprint = fingerprintOf(request);
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return crashes_.isSuspect(monotonicNow(), fingerprint);
+}
+
+// Without a shift for the pool, the nearest slot is taken. With one, each region is asked for by itself, so that failover to it is counted too.
+auto Dispatcher::regionChoices(const Run &run) const -> std::vector<RegionChoice>
+{
+    const auto &configuration = *run.request_.configuration_;
+    const auto home = regionOfZone(configuration, zone_);
+    if (!hasShifts(configuration, run.pool_.name_, home)) {
+        return { {} };
+    }
+    auto choices = std::vector<RegionChoice> {};
+    const auto *chosen = chooseShift(configuration, run.pool_.name_, home, wallNow(), run.hash_);
+    if (chosen != nullptr) {
+        choices.push_back({ chosen->to_, chosen });
+    }
+    for (const auto &region : regionsOf(configuration, run.pool_, home)) {
+        if (chosen == nullptr || region != chosen->to_) {
+            choices.push_back({ region, findShift(configuration, run.pool_.name_, home, region) });
         }
-        if (!request.repeatable_ || maySent || !takeRetry()) {
-            return result;
+    }
+    return choices;
+}
+
+auto Dispatcher::acquire(Run &run) -> std::optional<SlotGrant>
+{
+    const auto now = monotonicNow();
+    const auto excluded = exclusionsOf(run);
+    if (run.result_.candidates_ <= 0 || now >= run.request_.deadline_) {
+        return std::nullopt;
+    }
+    const auto choices = regionChoices(run);
+    const auto waiting = (run.request_.deadline_ - now) * waitingShare / static_cast<std::int64_t>(choices.size());
+    for (const auto &choice : choices) {
+        auto grant = acquireIn(run, choice, excluded, monotonicNow() + waiting);
+        if (grant) {
+            run.result_.region_ = regionOfZone(*run.request_.configuration_, grant->backend_.zone_);
+            run.result_.shift_ = choice.shift_ == nullptr ? "" : choice.shift_->name_;
+            return grant;
         }
-        maySent = true;
     }
+    return std::nullopt;
 }
 
-auto Dispatcher::setLeavingBackends(std::vector<std::string> names) -> void
+auto Dispatcher::acquireIn(Run &run, const RegionChoice &choice, const std::vector<std::string> &excluded, absl::Time waitUntil) -> std::optional<SlotGrant>
+{
+    const auto now = monotonicNow();
+    // The token comes first: a slot that is given back at the cap would have kept another request waiting.
+    if (choice.shift_ != nullptr && !shares_->takeToken(now, shiftLimit(choice.shift_->name_))) {
+        return std::nullopt;
+    }
+    const auto slotRequest = SlotRequest { run.pool_.name_, run.request_.organisation_, choice.region_, excluded, run.request_.deadline_, waitUntil };
+    return shares_->takeSlot(now, slotRequest);
+}
+
+// The servers to leave out. Those that are only better left out are used when no others remain.
+auto Dispatcher::exclusionsOf(Run &run) const -> std::vector<std::string>
+{
+    auto exclusions = Exclusions {};
+    {
+        const auto lock = absl::ReaderMutexLock(&mutex_);
+        exclusions = health_.exclusions(monotonicNow(), run.pool_, run.hash_);
+    }
+    auto required = run.tried_;
+    append(required, exclusions.required_);
+    auto all = required;
+    append(all, exclusions.preferred_);
+    const auto &chosen = all.size() < run.pool_.backends_.size() ? all : required;
+    run.result_.candidates_ = static_cast<int>(run.pool_.backends_.size()) - static_cast<int>(chosen.size());
+    return chosen;
+}
+
+// Calls beforeSend_ at the first attempt, and gives the slot back when the request ends there.
+auto Dispatcher::isStopped(Run &run, const SlotGrant &grant) -> bool
+{
+    if (run.isBegun_ || !run.request_.beforeSend_) {
+        run.isBegun_ = true;
+        return false;
+    }
+    run.isBegun_ = true;
+    auto ended = run.request_.beforeSend_();
+    if (!ended) {
+        return false;
+    }
+    shares_->returnSlot(monotonicNow(), grant, true);
+    if (auto *answer = std::get_if<Answer>(&*ended)) {
+        run.result_.answer_ = std::move(*answer);
+    } else {
+        run.result_.refusal_ = std::get<Refusal>(*ended);
+    }
+    return true;
+}
+
+auto Dispatcher::send(Run &run, const SlotGrant &grant) -> BackendExchange
+{
+    const auto &backend = grant.backend_;
+    run.result_.backend_ = backend.name_;
+    run.result_.attempts_ += 1;
+    run.tried_.push_back(backend.name_);
+    auto call = BackendCall { backend.address_, std::min(run.request_.deadline_, grant.deadline_), run.request_.repeatable_ };
+    if (run.request_.repeatable_) {
+        call.firstByteLimit_ = (call.deadline_ - monotonicNow()) * firstByteShare;
+    }
+    auto exchange = connections_.exchange(call, run.request_.content_);
+    const auto certainlyEnded = exchange.status_ == ExchangeStatus::Whole || exchange.status_ == ExchangeStatus::NotSent;
+    shares_->returnSlot(monotonicNow(), grant, certainlyEnded);
+    run.result_.detail_ = std::string(exchangeStatusName(exchange.status_)) + (exchange.detail_.empty() ? "" : ": " + exchange.detail_);
+    note(run, grant, exchange);
+    return exchange;
+}
+
+auto Dispatcher::note(const Run &run, const SlotGrant &grant, const BackendExchange &exchange) -> void
 {
+    const auto &backend = grant.backend_;
+    if (exchange.status_ == ExchangeStatus::Silent || exchange.status_ == ExchangeStatus::TimedOut) {
+        // Other connections to the same server may be just as unresponsive.
+        connections_.closeIdle(backend.address_);
+    }
+    const auto now = monotonicNow();
+    // A server that closes an idle connection at the moment of its reuse has not crashed.
+    const auto isCrash = exchange.status_ == ExchangeStatus::Ended && !exchange.wasIdleForLong_;
+    const auto fingerprint = isCrash ? fingerprintOf(run.request_) : std::string {};
     const auto lock = absl::MutexLock(&mutex_);
-    leaving_ = std::move(names);
+    health_.note(now, backend.name_, healthSignOf(exchange));
+    if (isCrash) {
+        crashes_.record(now, { fingerprint, { backend.name_ }, now });
+    }
 }
 
-auto Dispatcher::excludedBackends(const DispatchRequest &request, const Pool &pool, const std::vector<std::string> &tried) const -> std::vector<std::string>
+// Whether the request has ended with this exchange; otherwise another attempt is allowed.
+auto Dispatcher::isSettled(Run &run, BackendExchange exchange) -> bool
 {
-    auto excluded = std::vector<std::string> {};
-    const auto lock = absl::ReaderMutexLock(&mutex_);
-    for (const auto &backend : pool.backends_) {
-        if (isDrained(*request.configuration_, backend) || contains(leaving_, backend.name_) || contains(tried, backend.name_)) {
-            excluded.push_back(backend.name_);
+    if (exchange.status_ == ExchangeStatus::NotSent) {
+        // An earlier attempt that may have been executed decides the outcome.
+        if (!run.isSent_) {
+            run.result_.refusal_ = Refusal::BackendUnreachable;
+        }
+        run.unsentAttempts_ += 1;
+        return run.unsentAttempts_ >= maximumUnsentAttempts;
+    }
+    run.isSent_ = true;
+    if (exchange.status_ == ExchangeStatus::Whole) {
+        run.result_.answer_ = std::move(exchange.answer_);
+        run.result_.refusal_.reset();
+        if (run.result_.answer_->status_ != overloadedStatus) {
+            return true;
         }
+    } else if (!run.result_.answer_) {
+        run.result_.refusal_ = refusalOf(exchange.status_);
+    }
+    if (!run.request_.repeatable_ || run.isRetried_ || !takeRetry()) {
+        return true;
     }
-    return excluded;
+    run.isRetried_ = true;
+    return false;
 }
 
 auto Dispatcher::takeRetry() -> bool
@@ -160,4 +323,25 @@
     return true;
 }
 
+auto Dispatcher::setLeavingBackends(std::vector<std::string> names) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    leaving_ = std::move(names);
+    if (configuration_) {
+        health_.configure(monotonicNow(), *configuration_, leaving_);
+    }
+}
+
+auto Dispatcher::crashRecords(absl::Time now) const -> std::vector<CrashRecord>
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return crashes_.records(now);
+}
+
+auto Dispatcher::addCrashRecord(absl::Time now, const CrashRecord &record) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    crashes_.record(now, record);
+}
+
 }
--- a/libraries/process/dispatcher.h
+++ b/libraries/process/dispatcher.h
@@ -3,6 +3,8 @@
 
 #include "connection/backendpool.h"
 #include "process/sharekeeper.h"
+#include "request/backendhealth.h"
+#include "request/crashguard.h"
 #include "request/refusal.h"
 #include "request/retrybudget.h"
 #include "version/configuration.h"
@@ -11,14 +13,19 @@
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace lycheecleat
 {
 
+/** What a caller is told: an answer, or a refusal. */
+using Served = std::variant<Answer, Refusal>;
+
 /** A request that may run. */
 struct DispatchRequest
 {
@@ -32,8 +39,8 @@
     absl::Time deadline_;
     /** Whether it may be sent again after it may have reached a backend server. */
     bool repeatable_ = false;
-    /** Called once, when a slot is held and before anything is sent. A refusal ends the request as not run. */
-    std::function<std::optional<Refusal>()> beforeSend_;
+    /** Called once, when a slot is held and before anything is sent. What it returns ends the request, which is then not sent. */
+    std::function<std::optional<Served>()> beforeSend_;
 };
 
 /** What became of a request, with the values that its log line shows. */
@@ -45,6 +52,8 @@
     /** Backend server of the last attempt. */
     std::string backend_;
     std::string region_;
+    /** Shift that moved the request to its region; empty when none did. */
+    std::string shift_;
     /** Backend servers that could be chosen at the last attempt. */
     int candidates_ = 0;
     int attempts_ = 0;
@@ -56,23 +65,52 @@
 class Dispatcher
 {
 public:
-    explicit Dispatcher(ShareKeeper *shares);
+    /** The zone of this host and its shares, which outlive the dispatcher. */
+    Dispatcher(std::string zone, ShareKeeper *shares);
 
     [[nodiscard]] auto dispatch(const DispatchRequest &request) -> DispatchResult;
 
     /** Backend servers that are reported as leaving; they get no new request. */
     auto setLeavingBackends(std::vector<std::string> names) -> void;
 
+    /** Requests that ended backend servers, seen here or reported by peers. */
+    [[nodiscard]] auto crashRecords(absl::Time now) const -> std::vector<CrashRecord>;
+    auto addCrashRecord(absl::Time now, const CrashRecord &record) -> void;
+
 private:
-    [[nodiscard]] auto excludedBackends(const DispatchRequest &request, const Pool &pool, const std::vector<std::string> &tried) const
-        -> std::vector<std::string>;
+    /** One request on its way. */
+    struct Run;
+    /** Where a slot may be taken. */
+    struct RegionChoice
+    {
+        /** Empty: nearest first. */
+        std::string region_;
+        /** Shift whose cap counts the request; null when none does. */
+        const Shift *shift_ = nullptr;
+    };
+
+    auto adoptConfiguration(absl::Time now, const ConfigurationPointer &configuration) -> void;
+    [[nodiscard]] auto isSuspect(const DispatchRequest &request) const -> bool;
+    [[nodiscard]] auto regionChoices(const Run &run) const -> std::vector<RegionChoice>;
+    [[nodiscard]] auto acquire(Run &run) -> std::optional<SlotGrant>;
+    [[nodiscard]] auto acquireIn(Run &run, const RegionChoice &choice, const std::vector<std::string> &excluded, absl::Time waitUntil)
+        -> std::optional<SlotGrant>;
+    [[nodiscard]] auto exclusionsOf(Run &run) const -> std::vector<std::string>;
+    [[nodiscard]] auto isStopped(Run &run, const SlotGrant &grant) -> bool;
+    [[nodiscard]] auto send(Run &run, const SlotGrant &grant) -> BackendExchange;
+    auto note(const Run &run, const SlotGrant &grant, const BackendExchange &exchange) -> void;
+    [[nodiscard]] auto isSettled(Run &run, BackendExchange exchange) -> bool;
     [[nodiscard]] auto takeRetry() -> bool;
 
+    std::string zone_;
     ShareKeeper *shares_;
     BackendPool connections_;
     mutable absl::Mutex mutex_;
+    ConfigurationPointer configuration_ ABSL_GUARDED_BY(mutex_);
     std::vector<std::string> leaving_ ABSL_GUARDED_BY(mutex_);
+    BackendHealth health_ ABSL_GUARDED_BY(mutex_);
     RetryBudget retries_ ABSL_GUARDED_BY(mutex_);
+    CrashGuard crashes_ ABSL_GUARDED_BY(mutex_);
 };
 
 }
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -6,6 +6,7 @@
 #include "process/dispatcher.h"
 #include "process/keyindex.h"
 #include "process/oncekeys.h"
+#include "process/storeclaims.h"
 #include "request/credentials.h"
 #include "request/refusal.h"
 #include "request/requestpath.h"
@@ -38,6 +39,9 @@
 // Callers may resend for a while after the token's expiry; the answer is kept for them.
 constexpr auto tokenRetention = absl::Minutes(10);
 
+// The store keeps these keys for longer; the host's own table saves store calls for quick resends.
+constexpr auto claimRetention = absl::Minutes(10);
+
 constexpr auto retryAfterSeconds = "1";
 
 /** Everything that becomes known about one request on its way. */
@@ -64,9 +68,6 @@
     bool forwarded_ = false;
 };
 
-/** What a caller is told: an answer, or a refusal. */
-using Served = std::variant<Answer, Refusal>;
-
 auto isSafeMethod(const std::string &method) -> bool
 {
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
@@ -160,9 +161,28 @@
     return sha256Hex(fmt::format("{} {} {} {}\n", content.method_, content.target_.size(), content.target_, content.body_.size()) + content.body_);
 }
 
-auto logLevelOf(const std::optional<Refusal> &refusal) -> LogLevel
+// What ends a request whose key could not be claimed; none when it may run.
+auto endOf(const ClaimResult &result, RequestState &state) -> std::optional<Served>
+{
+    switch (result.status_) {
+    case ClaimStatus::Claimed:
+        return std::nullopt;
+    case ClaimStatus::Done:
+        state.replayed_ = true;
+        return result.answer_;
+    case ClaimStatus::Elsewhere:
+        return Refusal::ClaimedElsewhere;
+    case ClaimStatus::Mismatch:
+        return Refusal::IdempotencyKeyInvalid;
+    case ClaimStatus::Unavailable:
+        return Refusal::ClaimUnavailable;
+    }
+    return Refusal::ClaimUnavailable;
+}
+
+auto logLevelOf(const Refusal *refusal) -> LogLevel
 {
-    return refusal && describeRefusal(*refusal).outcome_ == Outcome::Unknown ? LogLevel::Warning : LogLevel::Info;
+    return refusal != nullptr && describeRefusal(*refusal).outcome_ == Outcome::Unknown ? LogLevel::Warning : LogLevel::Info;
 }
 
 }
@@ -179,10 +199,10 @@
     auto serveTokened(RequestState &state, const IdempotencyKey &key) -> Served;
     auto serveClaimed(RequestState &state, const IdempotencyKey &key) -> Served;
     auto forward(RequestState &state, const RunToken &token) -> Served;
-    auto runOnce(RequestState &state, const OnceRequest &once, std::function<std::optional<Refusal>()> beforeSend) -> Served;
-    auto run(RequestState &state, std::function<std::optional<Refusal>()> beforeSend) -> Served;
+    auto runOnce(RequestState &state, const OnceRequest &once, std::function<std::optional<Served>()> beforeSend) -> Served;
+    auto run(RequestState &state, std::function<std::optional<Served>()> beforeSend) -> Served;
     auto answerTo(RequestState &state) -> Answer;
-    auto log(const RequestState &state, const Answer &answer, const std::optional<Refusal> &refusal) const -> void;
+    auto log(const RequestState &state, const Answer &answer, const Refusal *refusal) const -> void;
     auto nextRequestId() -> std::string;
 
     RequestServices services_;
@@ -195,7 +215,7 @@
 
 RequestHandler::State::State(RequestServices services)
     : services_(std::move(services))
-    , dispatcher_(services_.shares_)
+    , dispatcher_(services_.zone_, services_.shares_)
     , once_(maximumOnceKeys, maximumOnceBytes)
 {
 }
@@ -315,10 +335,27 @@
     return runOnce(state, once, nullptr);
 }
 
-auto RequestHandler::State::serveClaimed(RequestState & /*state*/, const IdempotencyKey & /*key*/) -> Served
+auto RequestHandler::State::serveClaimed(RequestState &state, const IdempotencyKey &key) -> Served
 {
-    // FIXME: claim the key in the store.
-    return Refusal::ClaimUnavailable;
+    const auto digest = digestOf(state.content_);
+    const auto once = OnceRequest { state.organisation_, key.text_, digest, state.receivedAt_ + claimRetention };
+    const auto claimId = fmt::format("{}.{}.{}", services_.hostName_, services_.run_, state.requestId_);
+    auto claim = Claim { claimKey(state.organisation_, key.text_), claimId, digest };
+    auto isClaimed = false;
+    auto served = runOnce(state, once, [&]() -> std::optional<Served> {
+        const auto result = claimInStore(*services_.store_, claim);
+        isClaimed = result.status_ == ClaimStatus::Claimed;
+        return endOf(result, state);
+    });
+    if (!isClaimed) {
+        return served;
+    }
+    if (const auto *answer = std::get_if<Answer>(&served)) {
+        completeInStore(*services_.store_, claim, *answer);
+    } else if (describeRefusal(std::get<Refusal>(served)).outcome_ == Outcome::NotRun) {
+        releaseInStore(*services_.store_, claim);
+    }
+    return served;
 }
 
 auto RequestHandler::State::forward(RequestState &state, const RunToken &token) -> Served
@@ -352,7 +389,7 @@
     return answerOf(std::get<peer::ForwardedAnswer>(answer));
 }
 
-auto RequestHandler::State::runOnce(RequestState &state, const OnceRequest &once, std::function<std::optional<Refusal>()> beforeSend) -> Served
+auto RequestHandler::State::runOnce(RequestState &state, const OnceRequest &once, std::function<std::optional<Served>()> beforeSend) -> Served
 {
     const auto begun = once_.begin(once, state.deadline_);
     switch (begun.decision_) {
@@ -373,7 +410,11 @@
     auto served = run(state, std::move(beforeSend));
     if (const auto *answer = std::get_if<Answer>(&served)) {
         once_.finish(once, std::make_shared<const Answer>(*answer));
-    } else if (describeRefusal(std::get<Refusal>(served)).outcome_ == Outcome::NotRun) {
+        return served;
+    }
+    const auto refusal = std::get<Refusal>(served);
+    // A key that is claimed elsewhere has not run here, and the store may hold its answer later.
+    if (describeRefusal(refusal).outcome_ == Outcome::NotRun || refusal == Refusal::ClaimedElsewhere) {
         once_.forget(once);
     } else {
         once_.finishUnknown(once);
@@ -381,7 +422,7 @@
     return served;
 }
 
-auto RequestHandler::State::run(RequestState &state, std::function<std::optional<Refusal>()> beforeSend) -> Served
+auto RequestHandler::State::run(RequestState &state, std::function<std::optional<Served>()> beforeSend) -> Served
 {
     if (!state.organisation_.empty() && !services_.shares_->takeToken(monotonicNow(), organisationLimit(state.organisation_))) {
         return Refusal::RateExceeded;
@@ -400,15 +441,14 @@
 {
     inFlight_.fetch_add(1, std::memory_order_relaxed);
     auto served = serve(state);
-    const auto *refused = std::get_if<Refusal>(&served);
-    const auto refusal = refused == nullptr ? std::optional<Refusal> {} : *refused;
-    auto answer = refusal ? refusalAnswer(*refusal, state.requestId_) : answerForCaller(std::get<Answer>(std::move(served)), state);
+    const auto *refusal = std::get_if<Refusal>(&served);
+    auto answer = refusal != nullptr ? refusalAnswer(*refusal, state.requestId_) : answerForCaller(std::get<Answer>(std::move(served)), state);
     log(state, answer, refusal);
     inFlight_.fetch_sub(1, std::memory_order_relaxed);
     return answer;
 }
 
-auto RequestHandler::State::log(const RequestState &state, const Answer &answer, const std::optional<Refusal> &refusal) const -> void
+auto RequestHandler::State::log(const RequestState &state, const Answer &answer, const Refusal *refusal) const -> void
 {
     const auto elapsed = absl::ToInt64Microseconds(monotonicNow() - state.receivedAt_);
     const auto &dispatched = state.dispatched_;
@@ -425,11 +465,12 @@
                 { "knowledge", knowledgeStateName(state.knowledge_) },
                 { "backend", dispatched.backend_ },
                 { "region", dispatched.region_ },
+                { "shift", dispatched.shift_ },
                 { "candidates", std::to_string(dispatched.candidates_) },
                 { "attempts", std::to_string(dispatched.attempts_) },
                 { "status", std::to_string(answer.status_) },
                 { "outcome", headerValue(answer.headers_, outcomeHeader) },
-                { "reason", refusal ? std::string(describeRefusal(*refusal).name_) : headerValue(answer.headers_, reasonHeader) },
+                { "reason", refusal != nullptr ? std::string(describeRefusal(*refusal).name_) : headerValue(answer.headers_, reasonHeader) },
                 { "replayed", state.replayed_ ? "yes" : "no" },
                 { "detail", dispatched.detail_ },
                 { "microseconds", std::to_string(elapsed) },
@@ -489,13 +530,24 @@
     return state_->inFlight_.load(std::memory_order_relaxed);
 }
 
-auto RequestHandler::crashReports(absl::Time /*now*/) const -> std::vector<peer::CrashReport>
+auto RequestHandler::crashReports(absl::Time now) const -> std::vector<peer::CrashReport>
 {
-    return {};
+    auto reports = std::vector<peer::CrashReport> {};
+    for (const auto &record : state_->dispatcher_.crashRecords(now)) {
+        auto report = peer::CrashReport {};
+        report.fingerprint = record.fingerprint_;
+        report.backends = record.backends_;
+        report.ageMicros = absl::ToInt64Microseconds(now - record.endedAt_);
+        reports.push_back(std::move(report));
+    }
+    return reports;
 }
 
-auto RequestHandler::addCrashReports(absl::Time /*now*/, const std::vector<peer::CrashReport> & /*reports*/) -> void
+auto RequestHandler::addCrashReports(absl::Time now, const std::vector<peer::CrashReport> &reports) -> void
 {
+    for (const auto &report : reports) {
+        state_->dispatcher_.addCrashRecord(now, { report.fingerprint, report.backends, now - absl::Microseconds(report.ageMicros) });
+    }
 }
 
 auto RequestHandler::setLeavingBackends(std::vector<std::string> names) -> void
--- /dev/null
+++ b/libraries/process/storeclaims.cpp
@@ -0,0 +1,122 @@
+#include "process/storeclaims.h"
+
+#include <variant>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto claimTimeToLive = absl::Hours(24);
+
+/** Larger answers would fill the store, whose values are limited to a megabyte. */
+constexpr auto maximumStoredAnswer = std::size_t { 16 } * 1024;
+
+auto recordOf(const Claim &claim, ClaimState state) -> ClaimRecord
+{
+    return { state, claim.id_, claim.requestDigest_, {} };
+}
+
+auto swap(StoreClient &store, const Claim &claim, std::int64_t version, const ClaimRecord &record) -> std::variant<SwapResult, Error>
+{
+    return attempt([&] {
+        return store.compareAndSwap(claim.storeKey_, version, serializeClaim(record), claimTimeToLive);
+    });
+}
+
+auto sizeOf(const Answer &answer) -> std::size_t
+{
+    auto size = answer.body_.size();
+    for (const auto &header : answer.headers_) {
+        size += header.name_.size() + header.value_.size();
+    }
+    return size;
+}
+
+// Decides on a stored claim; the claim's own id means that a write took effect although its reply was lost.
+auto judge(Claim &claim, const StoreEntry &entry, const ClaimRecord &record) -> ClaimResult
+{
+    if (record.id_ == claim.id_ && record.state_ == ClaimState::Claimed) {
+        claim.version_ = entry.version_;
+        return { ClaimStatus::Claimed, {} };
+    }
+    if (record.requestDigest_ != claim.requestDigest_) {
+        return { ClaimStatus::Mismatch, {} };
+    }
+    if (record.state_ == ClaimState::Done) {
+        return { ClaimStatus::Done, record.answer_ };
+    }
+    return { ClaimStatus::Elsewhere, {} };
+}
+
+auto judgeEntry(Claim &claim, const StoreEntry &entry) -> ClaimResult
+{
+    const auto record = parseClaim(entry.value_);
+    return record ? judge(claim, entry, *record) : ClaimResult { ClaimStatus::Elsewhere, {} };
+}
+
+auto readAfterLostReply(StoreClient &store, Claim &claim) -> ClaimResult
+{
+    const auto read = attempt([&] {
+        return store.get(claim.storeKey_);
+    });
+    const auto *entry = std::get_if<StoreEntry>(&read);
+    // The write may still arrive when the key is absent, so the key may not be claimed again; nothing has run.
+    if (entry == nullptr || entry->version_ == 0) {
+        return { ClaimStatus::Unavailable, {} };
+    }
+    const auto record = parseClaim(entry->value_);
+    // A released claim is still there because the write that should replace it failed or is late.
+    if (record && record->state_ == ClaimState::Released) {
+        return { ClaimStatus::Unavailable, {} };
+    }
+    return judgeEntry(claim, *entry);
+}
+
+}
+
+auto claimInStore(StoreClient &store, Claim &claim) -> ClaimResult
+{
+    const auto record = recordOf(claim, ClaimState::Claimed);
+    const auto created = swap(store, claim, 0, record);
+    const auto *result = std::get_if<SwapResult>(&created);
+    if (result == nullptr) {
+        return readAfterLostReply(store, claim);
+    }
+    if (result->swapped_) {
+        claim.version_ = result->entry_.version_;
+        return { ClaimStatus::Claimed, {} };
+    }
+    const auto existing = parseClaim(result->entry_.value_);
+    if (!existing || existing->state_ != ClaimState::Released) {
+        return judgeEntry(claim, result->entry_);
+    }
+    const auto replaced = swap(store, claim, result->entry_.version_, record);
+    const auto *second = std::get_if<SwapResult>(&replaced);
+    if (second == nullptr) {
+        return readAfterLostReply(store, claim);
+    }
+    if (second->swapped_) {
+        claim.version_ = second->entry_.version_;
+        return { ClaimStatus::Claimed, {} };
+    }
+    return judgeEntry(claim, second->entry_);
+}
+
+auto releaseInStore(StoreClient &store, const Claim &claim) -> void
+{
+    static_cast<void>(swap(store, claim, claim.version_, recordOf(claim, ClaimState::Released)));
+}
+
+auto completeInStore(StoreClient &store, const Claim &claim, const Answer &answer) -> void
+{
+    if (sizeOf(answer) > maximumStoredAnswer) {
+        return;
+    }
+    auto record = recordOf(claim, ClaimState::Done);
+    record.answer_ = answer;
+    static_cast<void>(swap(store, claim, claim.version_, record));
+}
+
+}
