Test the request handler and the caller server

Cause: the path from a caller's bytes to the answer had no test. Change: tests with scripted backend servers in the same process: refusals and outcomes, no key in any received byte, cut, undelimited, ended and late responses, one retry, one execution per idempotency key under concurrent resends, knowledge gate, rate, crash suspects, leaving servers; and over sockets: unaltered headers and bodies, pipelining, shedding, graceful stop.

--- /dev/null
+++ b/libraries/process/callerservertest.cpp
@@ -0,0 +1,224 @@
+#include "process/callerserver.h"
+
+#include "connection/httpmessage.h"
+#include "connection/tcpconnection.h"
+#include "core/clock.h"
+
+#include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+struct RequestCase
+{
+    std::string description_;
+    std::string bytes_;
+    int status_;
+    std::string reason_;
+};
+
+struct Reply
+{
+    MessageHead head_;
+    StatusLine line_;
+    std::string body_;
+    MessageStatus status_ = MessageStatus::Closed;
+};
+
+auto readReply(TcpConnection &connection) -> Reply
+{
+    const auto deadline = monotonicNow() + absl::Seconds(5);
+    auto reply = Reply {};
+    reply.status_ = readHead(connection, 65536, deadline, reply.head_);
+    if (reply.status_ == MessageStatus::Whole) {
+        reply.line_ = parseStatusLine(reply.head_.firstLine_).value_or(StatusLine {});
+        reply.status_ = readBody(connection, bodyFraming(reply.head_.headers_).value_or(BodyFraming {}), 1 << 20, deadline, reply.body_);
+    }
+    return reply;
+}
+
+auto functionsOf(std::function<void(const httplib::Request &, httplib::Response &)> handle) -> CallerFunctions
+{
+    return {
+        std::move(handle),
+        [](const httplib::Request &, httplib::Response &response) {
+            response.status = 200;
+            response.body = "lookup";
+        },
+        [](const httplib::Request &) {
+            return std::size_t { 100 };
+        },
+    };
+}
+
+auto echo(const httplib::Request &request, httplib::Response &response) -> void
+{
+    response.status = 200;
+    response.headers.emplace("X-Seen", request.get_header_value("X-A"));
+    response.body = request.method + " " + request.target + " " + request.body;
+}
+
+auto settingsOf(int maximumRequests = 4) -> CallerServerSettings
+{
+    auto settings = CallerServerSettings {};
+    settings.address_ = "127.0.0.1:0";
+    settings.maximumRequests_ = maximumRequests;
+    settings.stopGrace_ = absl::Milliseconds(50);
+    return settings;
+}
+
+auto connectTo(const CallerServer &server) -> TcpConnection
+{
+    auto connected = attempt([&] {
+        return TcpConnection::connect("127.0.0.1:" + std::to_string(server.port()), monotonicNow() + absl::Seconds(5));
+    });
+    REQUIRE(std::holds_alternative<TcpConnection>(connected));
+    return std::get<TcpConnection>(std::move(connected));
+}
+
+auto send(TcpConnection &connection, const std::string &bytes) -> void
+{
+    REQUIRE(connection.write(bytes, monotonicNow() + absl::Seconds(5)) == TransferStatus::Done);
+}
+
+}
+
+// Guards against altered headers and bodies, and against requests without a defined answer.
+TEST_CASE("each request gets one whole answer")
+{
+    const auto cases = std::vector<RequestCase> {
+        { "plain", "GET /a?b HTTP/1.1\r\nHost: h\r\nX-A: a%20b%0d%0a\r\n\r\n", 200, "" },
+        { "multipart body", "POST /a HTTP/1.1\r\nContent-Type: multipart/form-data; boundary=x\r\nContent-Length: 7\r\n\r\n--x\r\nno", 200, "" },
+        { "compressed body", "POST /a HTTP/1.1\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc", 200, "" },
+        { "chunked body", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 200, "" },
+        { "body of a GET", "GET /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", 200, "" },
+        { "malformed range", "GET /a HTTP/1.1\r\nRange: x\r\nAccept-Encoding: gzip\r\n\r\n", 200, "" },
+        { "unknown method", "PURGE /a HTTP/1.1\r\n\r\n", 200, "" },
+        { "lookup", "GET /.well-known/lycheecleat/lookup HTTP/1.1\r\n\r\n", 200, "" },
+        { "no HTTP", "hello\r\n\r\n", 400, "malformed_request" },
+        { "two lengths", "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400, "malformed_request" },
+        { "long head", "GET /a HTTP/1.1\r\nX-A: " + std::string(70000, 'x') + "\r\n\r\n", 400, "malformed_request" },
+        { "long body", "POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n", 413, "body_too_large" },
+        { "long chunked body",
+          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x') + "\r\n0\r\n\r\n",
+          413,
+          "body_too_large" },
+    };
+    auto server = CallerServer(settingsOf(), functionsOf(echo));
+    REQUIRE(server.start());
+    for (const auto &requestCase : cases) {
+        CAPTURE(requestCase.description_);
+        auto connection = connectTo(server);
+        send(connection, requestCase.bytes_);
+        const auto reply = readReply(connection);
+        CHECK(reply.status_ == MessageStatus::Whole);
+        CHECK(reply.line_.status_ == requestCase.status_);
+        CHECK(headerValue(reply.head_.headers_, "X-Refusal-Reason") == requestCase.reason_);
+        CHECK(headerValue(reply.head_.headers_, "Content-Encoding").empty());
+        if (requestCase.description_ == "plain") {
+            CHECK(headerValue(reply.head_.headers_, "X-Seen") == "a%20b%0d%0a");
+            CHECK(reply.body_ == "GET /a?b ");
+        }
+        if (requestCase.description_ == "multipart body") {
+            CHECK(reply.body_ == "POST /a --x\r\nno");
+        }
+        if (requestCase.description_ == "chunked body") {
+            CHECK(reply.body_ == "POST /a abc");
+        }
+    }
+    server.stop();
+}
+
+// Guards against an answer that belongs to another request on the same connection.
+TEST_CASE("requests on one connection are answered in order")
+{
+    auto server = CallerServer(settingsOf(), functionsOf(echo));
+    REQUIRE(server.start());
+    auto connection = connectTo(server);
+    send(connection, "GET /1 HTTP/1.1\r\n\r\nPOST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET /3 HT");
+    CHECK(readReply(connection).body_ == "GET /1 ");
+    CHECK(readReply(connection).body_ == "POST /2 x");
+    send(connection, "TP/1.1\r\n\r\nHEAD /4 HTTP/1.1\r\n\r\n");
+    CHECK(readReply(connection).body_ == "GET /3 ");
+    auto head = MessageHead {};
+    CHECK(readHead(connection, 65536, monotonicNow() + absl::Seconds(5), head) == MessageStatus::Whole);
+    CHECK(headerValue(head.headers_, "Content-Length") == "8");
+    send(connection, "POST /5 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+    CHECK(readReply(connection).line_.status_ == 100);
+    send(connection, "y");
+    CHECK(readReply(connection).body_ == "POST /5 y");
+    server.stop();
+}
+
+// Guards against connections that are lost in a burst, and against requests that hang behind busy threads instead of being refused.
+TEST_CASE("requests beyond the limit are refused as not run while lookups are served")
+{
+    constexpr auto limit = 2;
+    auto release = absl::Notification();
+    auto handled = std::atomic<int>(0);
+    auto server = CallerServer(settingsOf(limit), functionsOf([&](const httplib::Request &request, httplib::Response &response) {
+                                   handled += 1;
+                                   release.WaitForNotification();
+                                   echo(request, response);
+                               }));
+    REQUIRE(server.start());
+    auto busy = std::vector<TcpConnection> {};
+    for (auto index = 0; index < limit; ++index) {
+        busy.push_back(connectTo(server));
+        send(busy.back(), "GET /busy HTTP/1.1\r\n\r\n");
+    }
+    const auto deadline = monotonicNow() + absl::Seconds(5);
+    while (handled < limit && monotonicNow() < deadline) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    for (auto index = 0; index < 50; ++index) {
+        auto connection = connectTo(server);
+        send(connection, "GET /more HTTP/1.1\r\n\r\n");
+        const auto reply = readReply(connection);
+        CHECK(reply.line_.status_ == 503);
+        CHECK(headerValue(reply.head_.headers_, "X-Refusal-Reason") == "overloaded");
+        CHECK(headerValue(reply.head_.headers_, "X-Request-Outcome") == "not-run");
+    }
+    auto lookup = connectTo(server);
+    send(lookup, "GET /.well-known/lycheecleat/lookup HTTP/1.1\r\n\r\n");
+    CHECK(readReply(lookup).body_ == "lookup");
+    release.Notify();
+    for (auto &connection : busy) {
+        CHECK(readReply(connection).line_.status_ == 200);
+    }
+    CHECK(handled == limit);
+    server.stop();
+}
+
+// Guards against a planned stop that interrupts requests in flight or loses those on connections that are open.
+TEST_CASE("stop finishes requests in flight")
+{
+    auto begun = absl::Notification();
+    auto server = CallerServer(settingsOf(), functionsOf([&](const httplib::Request &request, httplib::Response &response) {
+                                   begun.Notify();
+                                   absl::SleepFor(absl::Milliseconds(200));
+                                   echo(request, response);
+                               }));
+    REQUIRE(server.start());
+    auto idle = connectTo(server);
+    auto connection = connectTo(server);
+    send(connection, "GET /slow HTTP/1.1\r\n\r\n");
+    begun.WaitForNotification();
+    auto stopper = std::thread([&] {
+        server.stop();
+    });
+    const auto reply = readReply(connection);
+    CHECK(reply.body_ == "GET /slow ");
+    CHECK(headerValue(reply.head_.headers_, "Connection") == "close");
+    CHECK(readReply(idle).status_ == MessageStatus::Closed);
+    stopper.join();
+}
--- /dev/null
+++ b/libraries/process/requesthandlertest.cpp
@@ -0,0 +1,383 @@
+#include "process/requesthandler.h"
+
+#include "connection/scriptedserver.h"
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+#include "request/runtoken.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+constexpr auto secret = "fleet-secret";
+constexpr auto key = "caller-key-1";
+constexpr auto okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+using Servers = std::vector<std::unique_ptr<ScriptedServer>>;
+
+auto replyOf(const std::string &bytes, bool close = false) -> ScriptedServer::Script
+{
+    return [=](const ScriptedRequest &) {
+        return ScriptedReply { bytes, absl::ZeroDuration(), close };
+    };
+}
+
+auto serversOf(int count, const ScriptedServer::Script &script) -> Servers
+{
+    auto servers = Servers {};
+    for (auto index = 0; index < count; ++index) {
+        servers.push_back(std::make_unique<ScriptedServer>("127.0.0." + std::to_string(index + 1), script));
+    }
+    return servers;
+}
+
+auto requestCountOf(const Servers &servers) -> int
+{
+    auto count = 0;
+    for (const auto &server : servers) {
+        count += server->requestCount();
+    }
+    return count;
+}
+
+auto routeOf(const std::string &path, Access access, bool repeatable) -> Route
+{
+    auto route = Route { "route" + path, "routes" + path + ".yaml", "*", path, "pool", access, repeatable };
+    route.deadline_ = absl::Milliseconds(500);
+    route.bodyLimit_ = 1000;
+    return route;
+}
+
+auto configurationFor(const Servers &servers) -> Configuration
+{
+    auto configuration = Configuration {};
+    configuration.revision_ = 1;
+    configuration.regions_ = { { "region", { "zone" } } };
+    configuration.entryHosts_ = { { "host", "zone", "127.0.0.1:1", "127.0.0.1:1" } };
+    configuration.organisations_ = { { "org", 1000, 1000, 1 }, { "slow", 0.001, 1, 1 } };
+    configuration.keys_ = {
+        { "k1", "org", hmacHex(secret, key), true },
+        { "k2", "org", hmacHex(secret, "withdrawn-key"), false },
+        { "k3", "slow", hmacHex(secret, "slow-key"), true },
+    };
+    auto pool = Pool { "pool", 8, {}, absl::ZeroDuration() };
+    for (const auto &server : servers) {
+        pool.backends_.push_back({ "b" + std::to_string(pool.backends_.size()), "zone", server->address() });
+    }
+    configuration.pools_ = { pool };
+    configuration.routes_ = {
+        routeOf("/open", Access::Open, true),
+        routeOf("/read", Access::Keyed, true),
+        routeOf("/once", Access::Keyed, false),
+    };
+    return configuration;
+}
+
+auto lendingWith(const std::shared_ptr<absl::Duration> &offset) -> PeerLending
+{
+    return {
+        [offset] {
+            return monotonicNow() - *offset;
+        },
+        [](const auto &...) {
+            return std::nullopt;
+        },
+        [](const auto &...) {
+            return std::nullopt;
+        },
+    };
+}
+
+// One host whose shares are all in force and whose knowledge is fresh.
+struct Host
+{
+    explicit Host(const Configuration &configuration, StoreClient *store = nullptr)
+        : shares_("host", lendingWith(offset_))
+        , handler_({ "host", "run", "zone", secret, &current_, &knowledge_, &shares_, &peers_, store })
+    {
+        configureLog({ LogLevel::Error });
+        const auto pointer = std::make_shared<const Configuration>(configuration);
+        current_.advance(pointer);
+        shares_.configure(monotonicNow() - *offset_, pointer);
+        *offset_ = absl::ZeroDuration();
+        knowledge_.storeAnswered(monotonicNow());
+    }
+
+    auto handle(const std::string &method, const std::string &target, const httplib::Headers &headers = {}, const std::string &body = "") -> httplib::Response
+    {
+        auto request = httplib::Request {};
+        request.method = method;
+        request.target = target;
+        request.headers = headers;
+        request.headers.emplace("Host", "example");
+        request.body = body;
+        auto response = httplib::Response {};
+        handler_.handle(request, response);
+        return response;
+    }
+
+    // The wait for the first shares is over an hour after the configuration.
+    std::shared_ptr<absl::Duration> offset_ = std::make_shared<absl::Duration>(absl::Hours(1));
+    CurrentConfiguration current_;
+    Knowledge knowledge_;
+    PeerClients peers_;
+    ShareKeeper shares_;
+    RequestHandler handler_;
+};
+
+auto withKey(httplib::Headers headers = {}) -> httplib::Headers
+{
+    headers.emplace("X-Api-Key", key);
+    return headers;
+}
+
+auto tokenKey(const std::string &run, absl::Duration lifetime, const std::string &suffix) -> std::string
+{
+    return formatRunToken({ "host", run, absl::FromUnixSeconds(absl::ToUnixSeconds(wallNow() + lifetime)) }, secret) + ":" + suffix;
+}
+
+struct RefusalCase
+{
+    std::string method_;
+    std::string target_;
+    httplib::Headers headers_;
+    std::string body_;
+    int status_;
+    std::string outcome_;
+    std::string reason_;
+};
+
+struct FailureCase
+{
+    std::string description_;
+    ScriptedReply reply_;
+    int status_;
+    std::string outcome_;
+    std::string reason_;
+};
+
+}
+
+// Guards against a request that runs for another organisation or without a key, and against a refusal without its reason or outcome.
+TEST_CASE("requests that may not run are refused as not run")
+{
+    const auto servers = serversOf(1, replyOf(okResponse));
+    auto host = Host(configurationFor(servers));
+    const auto cases = std::vector<RefusalCase> {
+        { "GET", "/nowhere", {}, "", 404, "not-run", "no_route" },
+        { "GET", "/open/../read", {}, "", 400, "not-run", "malformed_request" },
+        { "GET", "/read", {}, "", 401, "not-run", "key_missing" },
+        { "GET", "/read", { { "X-Api-Key", "other" } }, "", 401, "not-run", "key_unknown" },
+        { "GET", "/read", { { "X-Api-Key", "withdrawn-key" } }, "", 401, "not-run", "key_withdrawn" },
+        { "GET", "/read?api_key=other", withKey(), "", 400, "not-run", "key_ambiguous" },
+        { "GET", "/read/caller-key-1", withKey(), "", 400, "not-run", "key_in_content" },
+        { "POST", "/open", withKey(), "x=caller%2Dkey-1", 400, "not-run", "key_in_content" },
+        { "POST", "/open", {}, std::string(1001, 'x'), 413, "not-run", "body_too_large" },
+        { "POST", "/once", withKey(), "", 400, "not-run", "idempotency_key_required" },
+        { "POST", "/once", withKey({ { "Idempotency-Key", "a b" } }), "", 400, "not-run", "idempotency_key_invalid" },
+        { "POST", "/once", withKey({ { "Idempotency-Key", tokenKey("earlier", absl::Minutes(1), "1") } }), "", 409, "unknown", "run_ended" },
+        { "POST", "/once", withKey({ { "Idempotency-Key", tokenKey("run", -absl::Minutes(1), "1") } }), "", 409, "unknown", "run_ended" },
+    };
+    for (const auto &refusalCase : cases) {
+        CAPTURE(refusalCase.target_);
+        CAPTURE(refusalCase.reason_);
+        const auto response = host.handle(refusalCase.method_, refusalCase.target_, refusalCase.headers_, refusalCase.body_);
+        CHECK(response.status == refusalCase.status_);
+        CHECK(response.get_header_value("X-Request-Outcome") == refusalCase.outcome_);
+        CHECK(response.get_header_value("X-Refusal-Reason") == refusalCase.reason_);
+        CHECK(response.body.find(refusalCase.reason_) != std::string::npos);
+    }
+    CHECK(requestCountOf(servers) == 0);
+}
+
+// Guards against a key in any byte that a backend server receives.
+TEST_CASE("no backend server receives the key")
+{
+    const auto servers = serversOf(1, replyOf(okResponse));
+    auto host = Host(configurationFor(servers));
+    const auto carriers = std::vector<std::pair<std::string, httplib::Headers>> {
+        { "/read", { { "Authorization", "Bearer caller-key-1" } } },
+        { "/read", { { "authorization", "bEARER caller-key-1" }, { "X-API-KEY", "caller-key-1" } } },
+        { "/read?a=1&API_KEY=caller%2dkey-1", {} },
+        { "/read", { { "Cookie", "a=1; api_key=caller-key-1; b=2" } } },
+        { "/open?api_key=caller-key-1", {} },
+    };
+    for (const auto &[target, headers] : carriers) {
+        CAPTURE(target);
+        const auto response = host.handle("POST", target, headers, "body");
+        CHECK(response.status == 200);
+        CHECK(response.get_header_value("X-Request-Outcome") == "ran");
+    }
+    CHECK(requestCountOf(servers) == static_cast<int>(carriers.size()));
+    const auto received = servers.front()->receivedBytes();
+    CHECK(received.find("caller-key-1") == std::string::npos);
+    CHECK(received.find("caller%2dkey-1") == std::string::npos);
+    CHECK(received.find("a=1; b=2") != std::string::npos);
+}
+
+// Guards against an error that is passed on as a success, and against a request of unknown outcome that is reported as not run.
+TEST_CASE("a request without a whole response has an unknown outcome and is sent once when it must not repeat")
+{
+    const auto cases = std::vector<FailureCase> {
+        { "cut", { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", absl::ZeroDuration(), true }, 502, "unknown", "response_incomplete" },
+        { "undelimited", { "HTTP/1.1 200 OK\r\n\r\nok", absl::ZeroDuration(), true }, 502, "unknown", "response_incomplete" },
+        { "ended", { "", absl::ZeroDuration(), true }, 502, "unknown", "response_incomplete" },
+        { "late", { okResponse, absl::Seconds(2) }, 504, "unknown", "deadline_exceeded" },
+        { "overloaded", { "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" }, 503, "ran", "" },
+    };
+    for (const auto &failureCase : cases) {
+        CAPTURE(failureCase.description_);
+        const auto servers = serversOf(3, [&](const ScriptedRequest &) {
+            return failureCase.reply_;
+        });
+        auto host = Host(configurationFor(servers));
+        const auto response = host.handle("POST", "/once", withKey({ { "Idempotency-Key", tokenKey("run", absl::Minutes(1), "1") } }), "body");
+        CHECK(response.status == failureCase.status_);
+        CHECK(response.get_header_value("X-Request-Outcome") == failureCase.outcome_);
+        CHECK(response.get_header_value("X-Refusal-Reason") == failureCase.reason_);
+        CHECK(requestCountOf(servers) == 1);
+    }
+}
+
+// Guards against a failure that a caller sees although another backend server could have answered.
+TEST_CASE("a repeatable request is retried once on another backend server")
+{
+    auto servers = serversOf(1, replyOf("", true));
+    servers.push_back(std::make_unique<ScriptedServer>("127.0.0.9", replyOf(okResponse)));
+    auto host = Host(configurationFor(servers));
+    for (auto request = 0; request < 4; ++request) {
+        const auto response = host.handle("GET", "/read?" + std::to_string(request), withKey());
+        CHECK(response.status == 200);
+        CHECK(response.body == "ok");
+    }
+    CHECK(servers.back()->requestCount() == 4);
+    const auto failing = serversOf(3, replyOf("", true));
+    auto failingHost = Host(configurationFor(failing));
+    CHECK(failingHost.handle("GET", "/read", withKey()).get_header_value("X-Request-Outcome") == "unknown");
+    CHECK(requestCountOf(failing) == 2);
+}
+
+// Guards against an answer of the second attempt being lost when nothing was sent at the first.
+TEST_CASE("an unreachable backend server costs no request")
+{
+    auto servers = serversOf(2, replyOf(okResponse));
+    const auto configuration = configurationFor(servers);
+    servers.erase(servers.begin());
+    auto host = Host(configuration);
+    for (auto request = 0; request < 4; ++request) {
+        const auto headers = withKey({ { "Idempotency-Key", tokenKey("run", absl::Minutes(1), std::to_string(request)) } });
+        CHECK(host.handle("POST", "/once", headers).status == 200);
+    }
+    servers.clear();
+    auto unreachable = Host(configuration);
+    const auto response = unreachable.handle("POST", "/once", withKey({ { "Idempotency-Key", tokenKey("run", absl::Minutes(1), "a") } }));
+    CHECK(response.get_header_value("X-Request-Outcome") == "not-run");
+    CHECK(response.get_header_value("X-Refusal-Reason") == "backend_unreachable");
+}
+
+// Guards against a second execution when a caller resends while the first request is running, and after it is done.
+TEST_CASE("an idempotency key runs once")
+{
+    const auto servers = serversOf(2, [](const ScriptedRequest &request) {
+        const auto body = std::to_string(request.onServer_);
+        return ScriptedReply { "HTTP/1.1 201 Created\r\nX-A: b\r\nContent-Length: 1\r\n\r\n" + body, absl::Milliseconds(100) };
+    });
+    auto host = Host(configurationFor(servers));
+    const auto headers = withKey({ { "Idempotency-Key", tokenKey("run", absl::Minutes(1), "1") } });
+    constexpr auto callers = 8;
+    auto responses = std::vector<httplib::Response>(callers);
+    auto threads = std::vector<std::thread> {};
+    for (auto &response : responses) {
+        threads.emplace_back([&] {
+            response = host.handle("POST", "/once", headers, "body");
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    responses.push_back(host.handle("POST", "/once", headers, "body"));
+    for (const auto &response : responses) {
+        CHECK(response.status == 201);
+        CHECK(response.body == "0");
+        CHECK(response.get_header_value("X-A") == "b");
+        CHECK(response.get_header_value("X-Request-Outcome") == "ran");
+    }
+    CHECK(requestCountOf(servers) == 1);
+    CHECK(host.handle("POST", "/once", headers, "other").get_header_value("X-Refusal-Reason") == "idempotency_key_invalid");
+    CHECK(requestCountOf(servers) == 1);
+}
+
+// Guards against keyed service by a host that cannot know of withdrawals, and against a withdrawn key that works until the next revision.
+TEST_CASE("knowledge gates keyed routes only")
+{
+    const auto servers = serversOf(1, replyOf(okResponse));
+    auto configuration = configurationFor(servers);
+    auto host = Host(configuration);
+    auto withdrawal = peer::Withdrawal {};
+    withdrawal.keyId = "k1";
+    withdrawal.digest = hmacHex(secret, key);
+    host.knowledge_.addWithdrawals({ withdrawal });
+    CHECK(host.handle("GET", "/read", withKey()).get_header_value("X-Refusal-Reason") == "key_withdrawn");
+    configuration.platform_.freshness_ = absl::Nanoseconds(1);
+    configuration.routes_.push_back(routeOf("/serve", Access::Keyed, true));
+    configuration.routes_.back().isolation_ = Isolation::Serve;
+    auto isolated = Host(configuration);
+    CHECK(isolated.handle("GET", "/read", withKey()).get_header_value("X-Refusal-Reason") == "knowledge_stale");
+    CHECK(isolated.handle("GET", "/open").status == 200);
+    CHECK(isolated.handle("GET", "/serve", withKey()).status == 200);
+}
+
+// Guards against an organisation that exceeds its rate, and against a refusal without the time to retry.
+TEST_CASE("requests beyond the organisation's rate are refused")
+{
+    const auto servers = serversOf(1, replyOf(okResponse));
+    auto host = Host(configurationFor(servers));
+    auto served = 0;
+    auto last = httplib::Response {};
+    for (auto request = 0; request < 5; ++request) {
+        last = host.handle("GET", "/read", { { "X-Api-Key", "slow-key" } });
+        served += last.status == 200 ? 1 : 0;
+    }
+    CHECK(served <= 1);
+    CHECK(last.status == 429);
+    CHECK(last.get_header_value("Retry-After") == "1");
+    CHECK(requestCountOf(servers) == served);
+}
+
+// Guards against a resent request that ends one backend server after another.
+TEST_CASE("a request that ended two backend servers is refused")
+{
+    const auto servers = serversOf(4, [](const ScriptedRequest &request) {
+        const auto isCrash = request.head_.find("/read?crash") != std::string::npos;
+        return isCrash ? ScriptedReply { "", absl::ZeroDuration(), true } : ScriptedReply { okResponse };
+    });
+    auto host = Host(configurationFor(servers));
+    CHECK(host.handle("GET", "/read?crash", withKey()).get_header_value("X-Refusal-Reason") == "response_incomplete");
+    CHECK(host.handle("GET", "/read?crash", withKey()).get_header_value("X-Refusal-Reason") == "crash_suspect");
+    CHECK(requestCountOf(servers) == 2);
+    CHECK(host.handle("GET", "/read?other", withKey()).status == 200);
+    auto peerHost = Host(configurationFor(servers));
+    peerHost.handler_.addCrashReports(monotonicNow(), host.handler_.crashReports(monotonicNow()));
+    CHECK(peerHost.handle("GET", "/read?crash", withKey()).get_header_value("X-Refusal-Reason") == "crash_suspect");
+}
+
+// Guards against new work for a backend server that leaves.
+TEST_CASE("a leaving backend server gets no request")
+{
+    const auto servers = serversOf(2, replyOf(okResponse));
+    auto host = Host(configurationFor(servers));
+    host.handler_.setLeavingBackends({ "b0" });
+    for (auto request = 0; request < 6; ++request) {
+        CHECK(host.handle("GET", "/read", withKey()).status == 200);
+    }
+    CHECK(servers.front()->requestCount() == 0);
+}
