--- /dev/null
+++ b/tests/standins/support/connectionowner.cpp
@@ -0,0 +1,88 @@
+#include "support/connectionowner.h"
+
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace standin
+{
+
+namespace
+{
+
+/** An address as the kernel's table of TCP connections writes it. */
+auto tableText(const sockaddr_in &address) -> std::string
+{
+    return fmt::format("{:08X}:{:04X}", address.sin_addr.s_addr, ntohs(address.sin_port));
+}
+
+/** Inode of the socket at the other end; empty when the connection is not in the table. */
+auto inodeOf(int socket) -> std::string
+{
+    auto remote = sockaddr_in {};
+    auto local = sockaddr_in {};
+    auto remoteSize = socklen_t { sizeof(remote) };
+    auto localSize = socklen_t { sizeof(local) };
+    if (getpeername(socket, reinterpret_cast<sockaddr *>(&remote), &remoteSize) != 0
+        || getsockname(socket, reinterpret_cast<sockaddr *>(&local), &localSize) != 0) {
+        return {};
+    }
+    // The other end's own address comes first in its line.
+    const auto wanted = tableText(remote) + " " + tableText(local);
+    auto table = std::ifstream("/proc/net/tcp");
+    auto line = std::string {};
+    while (std::getline(table, line)) {
+        if (line.find(wanted) == std::string::npos) {
+            continue;
+        }
+        constexpr auto inodeField = 9;
+        auto fields = std::istringstream(line);
+        auto field = std::string {};
+        for (auto index = 0; index <= inodeField; ++index) {
+            fields >> field;
+        }
+        return field;
+    }
+    return {};
+}
+
+auto holdsSocket(pid_t process, const std::string &inode) -> bool
+{
+    const auto wanted = "socket:[" + inode + "]";
+    auto error = std::error_code {};
+    auto entries = std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", process), error);
+    while (!error && entries != std::filesystem::directory_iterator {}) {
+        auto linkError = std::error_code {};
+        if (std::filesystem::read_symlink(entries->path(), linkError) == wanted) {
+            return true;
+        }
+        entries.increment(error);
+    }
+    return false;
+}
+
+}
+
+auto ownerOf(int socket, const NamedProcesses &processes) -> std::string
+{
+    if (processes.empty()) {
+        return {};
+    }
+    const auto inode = inodeOf(socket);
+    if (inode.empty()) {
+        return {};
+    }
+    for (const auto &[name, process] : processes) {
+        if (holdsSocket(process, inode)) {
+            return name;
+        }
+    }
+    return {};
+}
+
+}
--- a/tests/standins/support/faultproxy.cpp
+++ b/tests/standins/support/faultproxy.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <cerrno>
 #include <deque>
+#include <map>
 #include <optional>
 
 namespace standin
@@ -223,6 +224,17 @@
     Direction downstream_;
 };
 
+/** Both sets of faults together. */
+auto combine(const LinkFaults &left, const LinkFaults &right) -> LinkFaults
+{
+    return LinkFaults { left.cut_ || right.cut_, left.frozen_ || right.frozen_, left.repliesDropped_ || right.repliesDropped_, left.delay_ + right.delay_ };
+}
+
+auto contains(const std::vector<std::string> &names, const std::string &name) -> bool
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 auto matches(const std::string &pattern, const std::string &name) -> bool
 {
     if (!pattern.empty() && pattern.back() == '*') {
@@ -239,12 +251,17 @@
     /** Written to when the link's faults change. */
     int wake_ = -1;
     bool silenced_ = false;
+    /** Name of the process that opened the connection, if it was named. */
+    std::string source_;
 };
 
 struct FaultProxy::Link
 {
     ProxyLink settings_;
+    /** Faults of all connections. */
     LinkFaults faults_;
+    /** Further faults of the connections of one source. */
+    std::map<std::string, LinkFaults> sourceFaults_;
     int listener_ = -1;
     std::thread acceptor_;
     std::list<std::unique_ptr<Connection>> connections_;
@@ -333,6 +350,7 @@
         connection->wake_ = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
         auto *const added = connection.get();
         const auto lock = std::lock_guard(mutex_);
+        added->source_ = ownerOf(client, sources_);
         link.connections_.push_back(std::move(connection));
         std::thread([this, &link, added] {
             pump(link, *added);
@@ -364,10 +382,11 @@
 auto FaultProxy::faultsOf(const Link &link, const Connection &connection) -> std::optional<LinkFaults>
 {
     const auto lock = std::lock_guard(mutex_);
-    if (stopping_ || link.faults_.cut_) {
+    const auto ofSource = link.sourceFaults_.find(connection.source_);
+    auto faults = ofSource == link.sourceFaults_.end() ? link.faults_ : combine(link.faults_, ofSource->second);
+    if (stopping_ || faults.cut_) {
         return std::nullopt;
     }
-    auto faults = link.faults_;
     faults.frozen_ = faults.frozen_ || connection.silenced_;
     return faults;
 }
@@ -393,44 +412,78 @@
     return changed;
 }
 
+auto FaultProxy::changeFaults(const Selection &selection, const std::function<void(LinkFaults &)> &change) -> int
+{
+    return changeLinks(selection.links_, [&](Link &link) {
+        if (selection.sources_.empty()) {
+            change(link.faults_);
+        }
+        for (const auto &source : selection.sources_) {
+            change(link.sourceFaults_[source]);
+        }
+    });
+}
+
+auto FaultProxy::silence(const Selection &selection) -> int
+{
+    return changeLinks(selection.links_, [&](Link &link) {
+        for (auto &connection : link.connections_) {
+            if (selection.sources_.empty() || contains(selection.sources_, connection->source_)) {
+                connection->silenced_ = true;
+            }
+        }
+    });
+}
+
+auto FaultProxy::setSources(const HttpRequest &request) -> HttpAnswer
+{
+    const auto body = Json::parse(request.body_, nullptr, false);
+    if (!body.is_object()) {
+        return jsonAnswer(statusBadRequest, R"({"error":"the body is not a JSON object"})");
+    }
+    const auto lock = std::lock_guard(mutex_);
+    sources_ = body.get<NamedProcesses>();
+    return jsonAnswer(statusOk, "{}");
+}
+
 auto FaultProxy::handleControl(const HttpRequest &request) -> HttpAnswer
 {
     if (request.path_ == "/control/links") {
         return linksAnswer();
     }
+    if (request.path_ == "/control/sources") {
+        return setSources(request);
+    }
     const auto body = Json::parse(request.body_, nullptr, false);
     if (!body.is_object() || !body.contains("links")) {
         return jsonAnswer(statusBadRequest, R"({"error":"the body is not a JSON object with links"})");
     }
-    const auto patterns = body.at("links").get<std::vector<std::string>>();
+    const auto selection = Selection { body.at("links").get<std::vector<std::string>>(), body.value("sources", std::vector<std::string> {}) };
     const auto on = body.value("on", true);
-    auto changed = 0;
-    if (request.path_ == "/control/cut") {
-        changed = changeLinks(patterns, [on](Link &link) {
-            link.faults_.cut_ = on;
-        });
-    } else if (request.path_ == "/control/freeze") {
-        changed = changeLinks(patterns, [on](Link &link) {
-            link.faults_.frozen_ = on;
-        });
-    } else if (request.path_ == "/control/drop-replies") {
-        changed = changeLinks(patterns, [on](Link &link) {
-            link.faults_.repliesDropped_ = on;
-        });
-    } else if (request.path_ == "/control/delay") {
-        const auto delay = milliseconds(body.value("ms", std::int64_t { 0 }));
-        changed = changeLinks(patterns, [delay](Link &link) {
-            link.faults_.delay_ = delay;
-        });
-    } else if (request.path_ == "/control/silence") {
-        changed = changeLinks(patterns, [](Link &link) {
-            for (auto &connection : link.connections_) {
-                connection->silenced_ = true;
-            }
-        });
-    } else {
+    const auto delay = milliseconds(body.value("ms", std::int64_t { 0 }));
+    const auto changes = std::map<std::string, std::function<void(LinkFaults &)>> {
+        { "/control/cut",
+          [on](LinkFaults &faults) {
+              faults.cut_ = on;
+          } },
+        { "/control/freeze",
+          [on](LinkFaults &faults) {
+              faults.frozen_ = on;
+          } },
+        { "/control/drop-replies",
+          [on](LinkFaults &faults) {
+              faults.repliesDropped_ = on;
+          } },
+        { "/control/delay",
+          [delay](LinkFaults &faults) {
+              faults.delay_ = delay;
+          } },
+    };
+    const auto change = changes.find(request.path_);
+    if (change == changes.end() && request.path_ != "/control/silence") {
         return jsonAnswer(statusNotFound, R"({"error":"unknown control call"})");
     }
+    const auto changed = change == changes.end() ? silence(selection) : changeFaults(selection, change->second);
     // A misspelt name would otherwise leave a test without its fault.
     return jsonAnswer(changed > 0 ? statusOk : statusNotFound, Json { { "links", changed } }.dump());
 }
--- a/tests/standins/support/faultproxy.h
+++ b/tests/standins/support/faultproxy.h
@@ -1,6 +1,7 @@
 /** TCP proxy with faults that are switched on and off while it runs. */
 #pragma once
 
+#include "support/connectionowner.h"
 #include "support/httpserver.h"
 
 #include <chrono>
@@ -40,7 +41,9 @@
 
 /**
  * The proxy. Control calls: POST /control/cut, freeze, drop-replies {"links": [...], "on"}, delay {"links", "ms"}, silence {"links"}; GET /control/links.
- * A link is named in full or by a prefix that ends in "*". Silence makes the connections that are open now unresponsive for good; new ones work.
+ * With "sources": [NAME, ...] a fault applies to the connections of those processes only; POST /control/sources {NAME: PID} names them, which must be
+ * done before they connect. A link is named in full or by a prefix that ends in "*". Silence makes the connections that are open now unresponsive for good; new
+ * ones work.
  */
 class FaultProxy
 {
@@ -58,8 +61,19 @@
     struct Connection;
     struct Link;
 
+    /** Which links, and which connections of them, a control call means. */
+    struct Selection
+    {
+        std::vector<std::string> links_;
+        /** Empty: all sources. */
+        std::vector<std::string> sources_;
+    };
+
     auto handleControl(const HttpRequest &request) -> HttpAnswer;
     auto linksAnswer() -> HttpAnswer;
+    auto setSources(const HttpRequest &request) -> HttpAnswer;
+    auto changeFaults(const Selection &selection, const std::function<void(LinkFaults &)> &change) -> int;
+    auto silence(const Selection &selection) -> int;
     auto changeLinks(const std::vector<std::string> &patterns, const std::function<void(Link &)> &change) -> int;
     auto acceptLoop(Link &link) -> void;
     /** The faults that apply to a connection; none when it is to be reset. */
@@ -69,6 +83,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::vector<std::unique_ptr<Link>> links_;
+    NamedProcesses sources_;
     bool stopping_ = false;
     HttpServer control_;
 };
--- a/tests/standins/support/faultproxytest.cpp
+++ b/tests/standins/support/faultproxytest.cpp
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
+#include <unistd.h>
 
 using namespace standin;
 
@@ -130,3 +132,16 @@
     CHECK(isAnswered(*makeConnection()));
     CHECK(std::chrono::steady_clock::now() - begin >= std::chrono::milliseconds(120));
 }
+
+// Guards against a partition between two hosts that also cuts others off, or that cuts nothing because the source was not recognised.
+TEST_CASE("a fault with sources applies to the connections of those processes only")
+{
+    auto fixture = Fixture {};
+    fixture.control("sources", nlohmann::json { { "self", getpid() }, { "init", 1 } }.dump());
+    fixture.control("cut", R"({"links": ["link"], "sources": ["init"], "on": true})");
+    CHECK(isAnswered(*makeConnection()));
+    fixture.control("cut", R"({"links": ["link"], "sources": ["self"], "on": true})");
+    CHECK_FALSE(isAnswered(*makeConnection()));
+    fixture.control("cut", R"({"links": ["link"], "sources": ["self"], "on": false})");
+    CHECK(isAnswered(*makeConnection()));
+}
--- /dev/null
+++ b/tests/standins/support/loadgenerator.cpp
@@ -0,0 +1,203 @@
+#include "support/loadgenerator.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <thread>
+#include <unistd.h>
+
+namespace standin
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto longestLength = std::chrono::seconds { 120 };
+constexpr auto medianShare = 0.5;
+constexpr auto tailShare = 0.99;
+constexpr auto firstErrorStatus = 400;
+
+using Counts = std::map<std::string, std::int64_t>;
+
+/** What one thread saw. */
+struct LoadResult
+{
+    std::int64_t sent_ = 0;
+    /** Latencies of served requests in microseconds. */
+    std::vector<std::int64_t> sincePlanned_;
+    std::vector<std::int64_t> sinceStart_;
+    Counts statuses_;
+    Counts outcomes_;
+    Counts reasons_;
+    Counts errors_;
+};
+
+/** One thread's connections. */
+using Connections = std::vector<std::unique_ptr<httplib::Client>>;
+
+auto openConnections(const LoadSettings &settings) -> Connections
+{
+    auto connections = Connections {};
+    for (const auto &target : settings.targets_) {
+        auto connection = std::make_unique<httplib::Client>("http://" + target);
+        connection->set_keep_alive(true);
+        connection->set_tcp_nodelay(true);
+        connection->set_decompress(false);
+        connection->set_url_encode(false);
+        connection->set_connection_timeout(settings.timeout_);
+        connection->set_read_timeout(settings.timeout_);
+        connection->set_write_timeout(settings.timeout_);
+        connections.push_back(std::move(connection));
+    }
+    return connections;
+}
+
+auto makeRequest(const LoadSettings &settings, std::int64_t number) -> httplib::Request
+{
+    auto request = httplib::Request {};
+    request.method = settings.method_;
+    request.path = settings.path_;
+    request.set_header("Host", settings.host_);
+    request.set_header("X-Test-Id", "load-" + std::to_string(getpid()) + "-" + std::to_string(number));
+    if (!settings.key_.empty()) {
+        request.set_header("Authorization", "Bearer " + settings.key_);
+    }
+    if (!settings.idempotencyPrefix_.empty()) {
+        request.set_header("Idempotency-Key", settings.idempotencyPrefix_ + std::to_string(number));
+    }
+    for (const auto &header : settings.headers_) {
+        const auto colon = std::min(header.find(':'), header.size());
+        request.set_header(header.substr(0, colon), colon < header.size() ? header.substr(colon + 1) : "");
+    }
+    request.body = std::string(settings.bodyBytes_, 'b');
+    return request;
+}
+
+auto microsecondsSince(Clock::time_point begin) -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - begin).count();
+}
+
+auto sendOne(httplib::Client &connection, const httplib::Request &request, Clock::time_point planned, LoadResult &result) -> void
+{
+    const auto begin = Clock::now();
+    const auto answer = connection.send(request);
+    ++result.sent_;
+    if (!answer) {
+        ++result.errors_[httplib::to_string(answer.error())];
+        return;
+    }
+    ++result.statuses_[std::to_string(answer->status)];
+    ++result.outcomes_[answer->get_header_value("X-Request-Outcome")];
+    const auto reason = answer->get_header_value("X-Refusal-Reason");
+    if (!reason.empty()) {
+        ++result.reasons_[reason];
+    }
+    // A refusal is quick; counted as latency it would make an overloaded system look fast.
+    if (answer->status < firstErrorStatus) {
+        result.sincePlanned_.push_back(microsecondsSince(planned));
+        result.sinceStart_.push_back(microsecondsSince(begin));
+    }
+}
+
+/** Sends the requests that this thread takes from the common sequence. */
+auto runThread(const LoadSettings &settings, Clock::time_point start, std::atomic<std::int64_t> &next, LoadResult &result) -> void
+{
+    const auto total = static_cast<std::int64_t>(settings.rate_ * settings.length_.count());
+    auto connections = openConnections(settings);
+    for (auto number = next++; number < total; number = next++) {
+        const auto offset = std::chrono::duration<double>(static_cast<double>(number) / settings.rate_);
+        const auto planned = start + std::chrono::duration_cast<Clock::duration>(offset);
+        std::this_thread::sleep_until(planned);
+        // A system that answers nothing must not stretch the load without bound.
+        if (Clock::now() > start + std::chrono::duration_cast<Clock::duration>(settings.length_) + settings.timeout_) {
+            return;
+        }
+        auto &connection = *connections[static_cast<std::size_t>(number) % connections.size()];
+        sendOne(connection, makeRequest(settings, number), planned, result);
+    }
+}
+
+auto addCounts(Counts &total, const Counts &part) -> void
+{
+    for (const auto &[name, count] : part) {
+        total[name] += count;
+    }
+}
+
+auto addResult(LoadResult &total, const LoadResult &part) -> void
+{
+    total.sent_ += part.sent_;
+    total.sincePlanned_.insert(total.sincePlanned_.end(), part.sincePlanned_.begin(), part.sincePlanned_.end());
+    total.sinceStart_.insert(total.sinceStart_.end(), part.sinceStart_.begin(), part.sinceStart_.end());
+    addCounts(total.statuses_, part.statuses_);
+    addCounts(total.outcomes_, part.outcomes_);
+    addCounts(total.reasons_, part.reasons_);
+    addCounts(total.errors_, part.errors_);
+}
+
+/** The value that this share of the sorted values does not exceed; null when there are none. */
+auto percentile(const std::vector<std::int64_t> &sorted, double share) -> Json
+{
+    if (sorted.empty()) {
+        return Json();
+    }
+    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
+    return sorted[std::max<std::size_t>(rank, 1) - 1];
+}
+
+auto describe(LoadResult &result, double seconds) -> std::string
+{
+    std::sort(result.sincePlanned_.begin(), result.sincePlanned_.end());
+    std::sort(result.sinceStart_.begin(), result.sinceStart_.end());
+    const auto report = Json { { "sent", result.sent_ },
+                               { "seconds", seconds },
+                               { "served", result.sincePlanned_.size() },
+                               { "p50_us", percentile(result.sincePlanned_, medianShare) },
+                               { "p99_us", percentile(result.sincePlanned_, tailShare) },
+                               { "max_us", percentile(result.sincePlanned_, 1) },
+                               { "service_p50_us", percentile(result.sinceStart_, medianShare) },
+                               { "service_p99_us", percentile(result.sinceStart_, tailShare) },
+                               { "statuses", result.statuses_ },
+                               { "outcomes", result.outcomes_ },
+                               { "reasons", result.reasons_ },
+                               { "errors", result.errors_ } };
+    return report.dump();
+}
+
+}
+
+auto isUsable(const LoadSettings &settings) -> bool
+{
+    return settings.rate_ > 0 && settings.threads_ > 0 && !settings.targets_.empty() && settings.length_.count() > 0 && settings.length_ <= longestLength;
+}
+
+auto runLoad(const LoadSettings &settings) -> std::string
+{
+    auto next = std::atomic<std::int64_t> { 0 };
+    auto results = std::vector<LoadResult>(static_cast<std::size_t>(settings.threads_));
+    auto threads = std::vector<std::thread> {};
+    const auto start = Clock::now();
+    for (auto &result : results) {
+        threads.emplace_back([&] {
+            runThread(settings, start, next, result);
+        });
+    }
+    auto total = LoadResult {};
+    for (auto index = std::size_t { 0 }; index < threads.size(); ++index) {
+        threads[index].join();
+        addResult(total, results[index]);
+    }
+    return describe(total, std::chrono::duration<double>(Clock::now() - start).count());
+}
+
+}
