--- a/libraries/process/configurationfollowerspreadtest.cpp
+++ b/libraries/process/configurationfollowerspreadtest.cpp
@@ -147,7 +147,7 @@
                                        [this](const ConfigurationPointer &next) {
                                            membership_.setHosts(monotonicNow(), next->entryHosts_);
                                        },
-                                       [this](std::vector<std::string>) {
+                                       [this](const std::vector<std::string> &) {
                                            ++leavingUpdates_;
                                        } })
         , server_(peerAddress(index), std::shared_ptr<peer::PeerIf>(this, [](peer::PeerIf *) {}))
