--- a/utilities/lycheecleat/commands.h
+++ b/utilities/lycheecleat/commands.h
@@ -32,7 +32,7 @@
 /** `shift NAME`: moves traffic from one region to another, or ends the move with --undo. */
 [[nodiscard]] auto runShift(const Arguments &arguments) -> Result<Report>;
 
-/** `key grant ORGANISATION`: makes a key, stores its digest and prints the key once. */
+/** `key grant ORGANISATION [NAME]`: makes a key, stores its digest and prints the key once. */
 [[nodiscard]] auto runKeyGrant(const Arguments &arguments) -> Result<Report>;
 
 /** `key withdraw NAME`: withdraws a key in the store and with daemons. */
--- a/utilities/lycheecleat/keygrantcommand.cpp
+++ b/utilities/lycheecleat/keygrantcommand.cpp
@@ -26,7 +26,8 @@
     const auto organisation = textOf(arguments, "ORGANISATION");
     BOOST_LEAF_AUTO(secret, readSecret(textOf(arguments, "--secret-file")));
     const auto key = makeKey();
-    const auto rule = Key { makeKeyName(organisation), organisation, hmacHex(secret, key), true };
+    const auto name = isGiven(arguments, "NAME") ? textOf(arguments, "NAME") : makeKeyName(organisation);
+    const auto rule = Key { name, organisation, hmacHex(secret, key), true };
     const auto file = keyFile(rule);
     printProgress(fmt::format("storing key {} as {}; withdraw it if this command does not succeed", rule.name_, file.name_));
     BOOST_LEAF_AUTO(report, applyAndConfirm(arguments, { { file.name_, std::nullopt, file.content_ } }, "key-grant"));
--- a/utilities/lycheecleat/main.cpp
+++ b/utilities/lycheecleat/main.cpp
@@ -27,7 +27,8 @@
   lycheecleat shift NAME --undo --store ADDR [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
   lycheecleat shift NAME --pool POOL --from REGION --to REGION --share PERCENT --cap RATE --store ADDR [--start TIME] [--over DURATION]
                     [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
-  lycheecleat key grant ORGANISATION --store ADDR --secret-file FILE [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
+  lycheecleat key grant ORGANISATION [NAME] --store ADDR --secret-file FILE [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION]
+                    [--json]
   lycheecleat key withdraw NAME [--store ADDR] [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
   lycheecleat --help
 
