--- a/libraries/connection/configurationstoretest.cpp
+++ b/libraries/connection/configurationstoretest.cpp
@@ -75,7 +75,7 @@
             if (fault == Fault::LostRequest) {
                 return makeError("write", "fake store", "no answer");
             }
-            const auto result = swapEntry(store, key, expectedVersion, value);
+            auto result = swapEntry(store, key, expectedVersion, value);
             if (isHead && store.afterHeadSwap_) {
                 const auto hook = std::exchange(store.afterHeadSwap_, nullptr);
                 hook();
--- a/utilities/lycheecleat/keywithdrawcommand.cpp
+++ b/utilities/lycheecleat/keywithdrawcommand.cpp
@@ -99,7 +99,7 @@
         return makeError(requestStep, name, "give --store, --admin or both");
     }
     // The hosts come first: a withdrawal must not wait for a store that is down.
-    const auto hosts = withdrawAtDaemons(daemons, name);
+    auto hosts = withdrawAtDaemons(daemons, name);
     if (!inStore) {
         return hosts;
     }
--- a/utilities/lycheecleat/store.cpp
+++ b/utilities/lycheecleat/store.cpp
@@ -83,7 +83,7 @@
     const auto deadline = monotonicNow() + wait;
     auto printed = std::set<std::string> {};
     while (true) {
-        const auto missing = unconfirmedZones(zones, answersOf(daemons, printed), revision);
+        auto missing = unconfirmedZones(zones, answersOf(daemons, printed), revision);
         if (missing.empty() || monotonicNow() >= deadline) {
             return missing;
         }
