--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -90,7 +90,8 @@
         hasLength = hasLength || isLength;
         headers.push_back({ name, value });
     }
-    if (!hasLength && !bodyless) {
+    // The answer to a HEAD request describes a body that is not here, so only a length that is known is stated.
+    if (!hasLength && !bodyless && !(isHead && response.body.empty())) {
         headers.push_back({ "Content-Length", std::to_string(response.body.size()) });
     }
     if (close) {
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -263,7 +263,8 @@
     if (credentials.keys_.empty()) {
         return Refusal::KeyMissing;
     }
-    state.knowledge_ = services_.knowledge_->stateAt(state.receivedAt_, *state.configuration_);
+    // The process may have been paused since the request came, so the time of receipt would make old knowledge look fresh.
+    state.knowledge_ = services_.knowledge_->stateAt(monotonicNow(), *state.configuration_);
     if (state.knowledge_ == KnowledgeState::Isolated && state.route_->isolation_ == Isolation::Refuse) {
         return Refusal::KnowledgeStale;
     }
--- a/libraries/process/requesthandlertest.cpp
+++ b/libraries/process/requesthandlertest.cpp
@@ -4,7 +4,10 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/log.h"
+#include "process/peerhandler.h"
+#include "process/peerserver.h"
 #include "request/runtoken.h"
+#include "support/storeserver.h"
 
 #include <doctest/doctest.h>
 
@@ -100,9 +103,9 @@
 // One host whose shares are all in force and whose knowledge is fresh.
 struct Host
 {
-    explicit Host(const Configuration &configuration, StoreClient *store = nullptr)
-        : shares_("host", lendingWith(offset_))
-        , handler_({ "host", "run", "zone", secret, &current_, &knowledge_, &shares_, &peers_, store })
+    explicit Host(const Configuration &configuration, StoreClient *store = nullptr, const std::string &name = "host", const std::string &run = "run")
+        : shares_(name, lendingWith(offset_))
+        , handler_({ name, run, "zone", secret, &current_, &knowledge_, &shares_, &peers_, store })
     {
         configureLog({ LogLevel::Error });
         const auto pointer = std::make_shared<const Configuration>(configuration);
@@ -381,3 +384,132 @@
     }
     CHECK(servers.front()->requestCount() == 0);
 }
+
+// Guards against a second execution through another host, and against an answer that is lost because the caller changed hosts.
+TEST_CASE("a key with a token runs only in the run that the token names")
+{
+    const auto servers = serversOf(2, [](const ScriptedRequest &request) {
+        return ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(request.onServer_) };
+    });
+    constexpr auto peerAddress = "127.0.0.1:19381";
+    auto configuration = configurationFor(servers);
+    configuration.entryHosts_ = { { "host", "zone", "127.0.0.1:1", peerAddress }, { "other", "zone", "127.0.0.1:1", "127.0.0.1:1" } };
+    auto owner = Host(configuration);
+    auto other = Host(configuration, nullptr, "other", "run2");
+    const auto headers = withKey({ { "Idempotency-Key", tokenKey("run", absl::Minutes(1), "1") } });
+    const auto unreachable = other.handle("POST", "/once", headers, "body");
+    CHECK(unreachable.get_header_value("X-Refusal-Reason") == "run_unreachable");
+    CHECK(unreachable.get_header_value("X-Request-Outcome") == "unknown");
+    auto services = PeerServices {};
+    services.requests_ = &owner.handler_;
+    auto server = PeerServer(peerAddress, std::make_shared<PeerHandler>(services));
+    REQUIRE(server.start());
+    for (auto *host : { &other, &owner, &other }) {
+        const auto response = host->handle("POST", "/once", headers, "body");
+        CHECK(response.status == 200);
+        CHECK(response.body == "0");
+        CHECK(response.get_header_value_count("X-Request-Outcome") == 1);
+        CHECK(response.get_header_value("X-Request-Outcome") == "ran");
+    }
+    const auto ended = other.handle("POST", "/once", withKey({ { "Idempotency-Key", tokenKey("earlier", absl::Minutes(1), "1") } }));
+    CHECK(ended.get_header_value("X-Refusal-Reason") == "run_ended");
+    CHECK(requestCountOf(servers) == 1);
+    server.stop();
+}
+
+// Guards against a second execution through another host of a key without a token, and against a key that is lost without having run.
+TEST_CASE("a key without a token is claimed in the store")
+{
+    auto store = standin::StoreServer(standin::StoreLimits {});
+    REQUIRE(store.start("127.0.0.1:0"));
+    auto client = StoreClient({ store.address(), absl::Milliseconds(500) });
+    auto servers = serversOf(1, [](const ScriptedRequest &request) {
+        const auto delay = request.head_.find("/once?late") != std::string::npos ? absl::Seconds(2) : absl::ZeroDuration();
+        return ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(request.onServer_), delay };
+    });
+    const auto configuration = configurationFor(servers);
+    auto first = Host(configuration, &client);
+    auto second = Host(configuration, &client, "host", "run2");
+    const auto headers = withKey({ { "Idempotency-Key", "order-1" } });
+    for (auto *host : { &first, &second, &first }) {
+        const auto response = host->handle("POST", "/once", headers, "body");
+        CHECK(response.status == 200);
+        CHECK(response.body == "0");
+        CHECK(response.get_header_value("X-Request-Outcome") == "ran");
+    }
+    CHECK(second.handle("POST", "/once", headers, "other").get_header_value("X-Refusal-Reason") == "idempotency_key_invalid");
+    const auto lateHeaders = withKey({ { "Idempotency-Key", "order-2" } });
+    CHECK(first.handle("POST", "/once?late", lateHeaders).get_header_value("X-Refusal-Reason") == "deadline_exceeded");
+    const auto elsewhere = second.handle("POST", "/once?late", lateHeaders);
+    CHECK(elsewhere.get_header_value("X-Refusal-Reason") == "claimed_elsewhere");
+    CHECK(elsewhere.get_header_value("X-Request-Outcome") == "unknown");
+    CHECK(requestCountOf(servers) == 2);
+    auto control = httplib::Client("http://" + store.address());
+    REQUIRE(control.Post("/control/lose-replies", R"({"count":1})", "application/json"));
+    const auto lostHeaders = withKey({ { "Idempotency-Key", "order-3" } });
+    CHECK(first.handle("POST", "/once", lostHeaders).status == 200);
+    CHECK(second.handle("POST", "/once", lostHeaders).body == "2");
+    CHECK(requestCountOf(servers) == 3);
+    REQUIRE(control.Post("/control/outage", R"({"on":true})", "application/json"));
+    const auto outage = first.handle("POST", "/once", withKey({ { "Idempotency-Key", "order-4" } }));
+    CHECK(outage.get_header_value("X-Refusal-Reason") == "claim_unavailable");
+    CHECK(outage.get_header_value("X-Request-Outcome") == "not-run");
+    CHECK(requestCountOf(servers) == 3);
+    REQUIRE(control.Post("/control/outage", R"({"on":false})", "application/json"));
+    servers.clear();
+    const auto unreachable = first.handle("POST", "/once", withKey({ { "Idempotency-Key", "order-5" } }));
+    CHECK(unreachable.get_header_value("X-Refusal-Reason") == "backend_unreachable");
+    const auto again = second.handle("POST", "/once", withKey({ { "Idempotency-Key", "order-5" } }));
+    CHECK(again.get_header_value("X-Refusal-Reason") == "backend_unreachable");
+}
+
+// Guards against a shift or a failover that moves more than the cap, and against a request that is refused at the cap although its region has slots.
+TEST_CASE("requests are moved to another region only within the cap")
+{
+    const auto servers = serversOf(2, replyOf(okResponse));
+    auto configuration = configurationFor(servers);
+    configuration.regions_ = { { "region", { "zone" } }, { "far", { "zone2" } } };
+    configuration.pools_.front().backends_[1].zone_ = "zone2";
+    configuration.shifts_ = { { "move", "pool", "region", "far", 1.0, 3, wallNow() - absl::Hours(1), absl::Minutes(1) } };
+    auto host = Host(configuration);
+    const auto startedAt = monotonicNow();
+    const auto movedAtMost = [&] {
+        constexpr auto cap = 3.0;
+        return cap + cap * absl::ToDoubleSeconds(monotonicNow() - startedAt);
+    };
+    for (auto request = 0; request < 20; ++request) {
+        CHECK(host.handle("GET", "/read", withKey()).status == 200);
+    }
+    CHECK(servers[1]->requestCount() >= 1);
+    CHECK(servers[1]->requestCount() <= movedAtMost());
+    host.handler_.setLeavingBackends({ "b0" });
+    for (auto request = 0; request < 20; ++request) {
+        host.handle("GET", "/read", withKey());
+    }
+    CHECK(servers[0]->requestCount() + servers[1]->requestCount() <= 20 + movedAtMost());
+    CHECK(servers[1]->requestCount() <= movedAtMost());
+}
+
+// Guards against a late response that reaches the caller of a later request.
+TEST_CASE("each caller gets the response to its own request when responses are late")
+{
+    const auto servers = serversOf(1, [](const ScriptedRequest &request) {
+        const auto number = request.head_.substr(request.head_.find('?') + 1, 2);
+        const auto delay = request.onServer_ % 3 == 1 ? absl::Milliseconds(300) : absl::ZeroDuration();
+        return ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + number, delay };
+    });
+    auto configuration = configurationFor(servers);
+    configuration.routes_[1].deadline_ = absl::Milliseconds(200);
+    auto host = Host(configuration);
+    auto late = 0;
+    for (auto request = 10; request < 30; ++request) {
+        const auto number = std::to_string(request);
+        const auto response = host.handle("GET", "/read?" + number, withKey());
+        late += response.status == 504 ? 1 : 0;
+        if (response.status == 200) {
+            CHECK(response.body == number);
+        }
+    }
+    CHECK(late >= 1);
+    CHECK(late < 20);
+}
