Answer lookups and run the daemon

A lookup gives the available hosts of the client's region, those that hold the organisation's shares first, and a run token for one of them with its present run as known from the exchanges. The daemon wires the parts, serves callers once a configuration is in force and the peers have been heard or one second has passed, and on SIGTERM tells peers, serves for the lookup lifetime, finishes the requests in flight and ends with code 0.

A starting host waits for its peers because they may hold a newer revision than the store; it waits up to five seconds for a newer revision that a peer has announced.

--- /dev/null
+++ b/libraries/process/daemon.cpp
@@ -0,0 +1,304 @@
+#include "process/daemon.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+#include "process/peerhandler.h"
+
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+constexpr auto runBytes = 8;
+
+/** How long a starting host waits for an answer of every peer. */
+constexpr auto peersTimeout = absl::Seconds(1);
+
+/** How long a starting host waits for a newer revision that a peer holds. */
+constexpr auto newerRevisionTimeout = absl::Seconds(5);
+
+constexpr auto startPollInterval = absl::Milliseconds(10);
+
+/** Time until every peer that answers has heard that this host is leaving. */
+constexpr auto leavingSpreadTime = exchangeTimeout;
+
+/** Longest wait for requests that peers forwarded. */
+constexpr auto forwardedTimeout = absl::Seconds(60);
+
+auto callerSettings(const Settings &settings) -> CallerServerSettings
+{
+    auto callers = CallerServerSettings {};
+    callers.address_ = settings.listen_;
+    callers.maximumRequests_ = settings.threads_;
+    return callers;
+}
+
+auto ageMicros(absl::Duration age) -> std::int64_t
+{
+    return age == absl::InfiniteDuration() ? -1 : std::max<std::int64_t>(0, absl::ToInt64Microseconds(age));
+}
+
+auto logEvent(LogLevel level, const char *event, const std::vector<LogField> &fields) -> void
+{
+    logLine(wallNow(), level, event, fields);
+}
+
+}
+
+auto readDaemonSettings(const Settings &settings) -> Result<DaemonSettings>
+{
+    BOOST_LEAF_AUTO(secret, readSecret(settings.secretFile_));
+    auto read = DaemonSettings { settings, std::move(secret), {} };
+    if (!settings.operatorKeyFile_.empty()) {
+        BOOST_LEAF_ASSIGN(read.operatorKey_, readSecret(settings.operatorKeyFile_));
+    }
+    return read;
+}
+
+auto mayServe(const StartFacts &facts) -> bool
+{
+    if (facts.revision_ == 0) {
+        return false;
+    }
+    if (!facts.heardAllPeers_ && facts.sinceFirst_ < peersTimeout) {
+        return false;
+    }
+    return facts.highestPeerRevision_ <= facts.revision_ || facts.sinceFirst_ >= newerRevisionTimeout;
+}
+
+Daemon::Daemon(DaemonSettings settings)
+    : settings_(std::move(settings))
+    , run_(randomHex(runBytes))
+    , knowledge_(settings_.settings_.zone_)
+    , store_(StoreSettings { settings_.settings_.store_ })
+    , shares_(settings_.settings_.name_, monotonicNow(), &peers_)
+    , requests_(RequestServices { settings_.settings_.name_,
+                                  run_,
+                                  settings_.settings_.zone_,
+                                  settings_.secret_,
+                                  &configuration_,
+                                  &knowledge_,
+                                  &shares_,
+                                  &peers_,
+                                  &store_ })
+    , membership_(MembershipServices { settings_.settings_.name_,
+                                       &peers_,
+                                       [this] {
+                                           return ownState();
+                                       },
+                                       [this](const PeerNews &news) {
+                                           heard(news);
+                                       } })
+    , follower_(FollowerServices { settings_.settings_.name_,
+                                   settings_.settings_.zone_,
+                                   followedStore(store_),
+                                   &configuration_,
+                                   &knowledge_,
+                                   &membership_,
+                                   &peers_,
+                                   [this](const ConfigurationPointer &next) {
+                                       prepare(next);
+                                   },
+                                   [this](std::vector<std::string> names) {
+                                       requests_.setLeavingBackends(std::move(names));
+                                   } })
+    , lookups_(LookupServices { settings_.settings_.name_,
+                                run_,
+                                settings_.settings_.zone_,
+                                settings_.secret_,
+                                settings_.settings_.lookupLifetime_,
+                                &membership_,
+                                [this] {
+                                    return leaving_.load();
+                                } })
+    , peerServer_(settings_.settings_.peerListen_, std::make_shared<PeerHandler>(PeerServices { &membership_, &follower_, &shares_, &requests_ }))
+    , callers_(callerSettings(settings_.settings_),
+               CallerFunctions { [this](const httplib::Request &request, httplib::Response &response) {
+                                    requests_.handle(request, response);
+                                },
+                                 [this](const httplib::Request &request, httplib::Response &response) {
+                                     lookups_.handle(request, response);
+                                 },
+                                 [this](const httplib::Request &request) {
+                                     return requests_.bodyLimit(request);
+                                 } })
+{
+}
+
+Daemon::~Daemon()
+{
+    stop();
+}
+
+auto Daemon::start() -> Result<void>
+{
+    BOOST_LEAF_CHECK(peerServer_.start());
+    membership_.start();
+    follower_.start();
+    opener_ = std::thread([this] {
+        openWhenReady();
+    });
+    return {};
+}
+
+auto Daemon::stop() -> void
+{
+    if (stopping_.exchange(true)) {
+        return;
+    }
+    if (opener_.joinable()) {
+        opener_.join();
+    }
+    if (ready_) {
+        leave();
+    }
+    follower_.stop();
+    membership_.stop();
+    peerServer_.stop();
+}
+
+auto Daemon::isReady() const -> bool
+{
+    return ready_;
+}
+
+auto Daemon::hasFailed() const -> bool
+{
+    return failed_;
+}
+
+auto Daemon::configuration() const -> ConfigurationPointer
+{
+    return configuration_.get();
+}
+
+auto Daemon::knowledge() -> Knowledge &
+{
+    return knowledge_;
+}
+
+auto Daemon::membership() const -> const Membership &
+{
+    return membership_;
+}
+
+auto Daemon::follower() const -> const ConfigurationFollower &
+{
+    return follower_;
+}
+
+auto Daemon::ownState() const -> peer::HostState
+{
+    const auto now = monotonicNow();
+    auto state = peer::HostState {};
+    state.name = settings_.settings_.name_;
+    state.run = run_;
+    state.zone = settings_.settings_.zone_;
+    state.peerAddress = settings_.settings_.peerListen_;
+    // The age is read before the revision: the other way round, the age could belong to a newer revision than the one stated with it.
+    state.knowledgeAgeMicros = ageMicros(knowledge_.ageAt(now));
+    const auto configuration = configuration_.get();
+    state.revision = configuration->revision_;
+    state.digest = configuration->digest_;
+    state.storeReachable = knowledge_.storeReachable(now, reachableBound(configuration->platform_.freshness_));
+    state.leaving = leaving_;
+    state.withdrawals = knowledge_.withdrawals();
+    state.crashReports = requests_.crashReports(now);
+    follower_.describeHostList(state);
+    return state;
+}
+
+auto Daemon::heard(const PeerNews &news) -> void
+{
+    const auto configuration = configuration_.get();
+    if (knowledge_.addWithdrawals(withdrawalsNotShown(news.state_.withdrawals, *configuration))) {
+        membership_.exchangeSoon(monotonicNow());
+    }
+    requests_.addCrashReports(monotonicNow(), news.state_.crashReports);
+    const auto ageCounts = follower_.heard(news);
+    if (!news.sentAt_) {
+        return;
+    }
+    auto report = news.state_;
+    if (!ageCounts) {
+        report.knowledgeAgeMicros = -1;
+    }
+    knowledge_.peerAnswered(*news.sentAt_, report);
+}
+
+auto Daemon::prepare(const ConfigurationPointer &next) -> void
+{
+    const auto now = monotonicNow();
+    shares_.configure(now, next);
+    lookups_.configure(next);
+    membership_.setHosts(now, next->entryHosts_);
+    const auto *self = findByName(next->entryHosts_, settings_.settings_.name_);
+    if (self == nullptr) {
+        logEvent(LogLevel::Error, "host_not_declared", { { "host", settings_.settings_.name_ }, { "revision", std::to_string(next->revision_) } });
+        return;
+    }
+    if (self->zone_ != settings_.settings_.zone_ || self->peer_ != settings_.settings_.peerListen_) {
+        logEvent(LogLevel::Error, "host_declared_differently", { { "host", self->name_ }, { "declared_zone", self->zone_ }, { "declared_peer", self->peer_ } });
+    }
+}
+
+auto Daemon::openWhenReady() -> void
+{
+    auto firstAt = absl::InfiniteFuture();
+    while (!mayServe(startFacts(firstAt))) {
+        if (stopping_) {
+            return;
+        }
+        if (configuration_.get()->revision_ > 0) {
+            firstAt = std::min(firstAt, monotonicNow());
+        }
+        absl::SleepFor(startPollInterval);
+    }
+    const auto outcome = attempt([this] {
+        return callers_.start();
+    });
+    if (const auto *error = std::get_if<Error>(&outcome)) {
+        logEvent(LogLevel::Error, "start_failed", { { "error", describe(*error) } });
+        failed_ = true;
+        return;
+    }
+    ready_ = true;
+    logEvent(
+        LogLevel::Info, "ready", { { "host", settings_.settings_.name_ }, { "run", run_ }, { "revision", std::to_string(configuration_.get()->revision_) } });
+}
+
+auto Daemon::startFacts(absl::Time firstAt) const -> StartFacts
+{
+    auto facts = StartFacts { configuration_.get()->revision_, 0, true, monotonicNow() - firstAt };
+    for (const auto &view : membership_.views()) {
+        facts.highestPeerRevision_ = std::max(facts.highestPeerRevision_, view.state_.revision);
+        facts.heardAllPeers_ &= view.heardAt_ > absl::InfinitePast();
+    }
+    return facts;
+}
+
+auto Daemon::leave() -> void
+{
+    const auto startedAt = monotonicNow();
+    leaving_ = true;
+    membership_.exchangeSoon(startedAt);
+    logEvent(LogLevel::Info, "leaving", { { "in_flight", std::to_string(requests_.inFlight()) } });
+    // Callers may use lookup answers given until now for their whole lifetime.
+    absl::SleepFor(settings_.settings_.lookupLifetime_ + leavingSpreadTime);
+    callers_.stop();
+    const auto deadline = monotonicNow() + forwardedTimeout;
+    while (requests_.inFlight() > 0 && monotonicNow() < deadline) {
+        absl::SleepFor(startPollInterval);
+    }
+    ready_ = false;
+    logEvent(LogLevel::Info, "stopped", { { "drain_time", absl::FormatDuration(monotonicNow() - startedAt) } });
+}
+
+}
--- /dev/null
+++ b/libraries/process/daemon.h
@@ -0,0 +1,105 @@
+/** One daemon: all parts of the process, wired together, with start and graceful stop. */
+#pragma once
+
+#include "connection/peerclients.h"
+#include "connection/storeclient.h"
+#include "process/callerserver.h"
+#include "process/configurationfollower.h"
+#include "process/currentconfiguration.h"
+#include "process/knowledge.h"
+#include "process/lookuphandler.h"
+#include "process/membership.h"
+#include "process/peerserver.h"
+#include "process/requesthandler.h"
+#include "process/settings.h"
+#include "process/sharekeeper.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace lycheecleat
+{
+
+/** Settings with the content of the files they name. */
+struct DaemonSettings
+{
+    Settings settings_;
+    std::string secret_;
+    /** Empty when there is none. */
+    std::string operatorKey_;
+};
+
+/** Reads the files that settings name. Errors: a file cannot be read or is empty. */
+[[nodiscard]] auto readDaemonSettings(const Settings &settings) -> Result<DaemonSettings>;
+
+/** What decides whether a host that has just started may serve callers. */
+struct StartFacts
+{
+    /** Revision in force; 0 when none is. */
+    std::int64_t revision_ = 0;
+    std::int64_t highestPeerRevision_ = 0;
+    bool heardAllPeers_ = false;
+    /** Time since the first revision was put in force. */
+    absl::Duration sinceFirst_;
+};
+
+/** Whether a host that has just started may serve callers. It waits a short time for its peers, which may know a newer revision than the store. */
+[[nodiscard]] auto mayServe(const StartFacts &facts) -> bool;
+
+/** Runs one daemon in this process. */
+class Daemon
+{
+public:
+    explicit Daemon(DaemonSettings settings);
+    ~Daemon();
+    Daemon(const Daemon &) = delete;
+    auto operator=(const Daemon &) -> Daemon & = delete;
+
+    /** Starts everything but the caller server, which starts as soon as a configuration is in force. Errors: an address cannot be used. */
+    [[nodiscard]] auto start() -> Result<void>;
+
+    /** Leaves: tells peers, serves for the lookup lifetime, then finishes the requests in flight and ends. Blocks until all is done. */
+    auto stop() -> void;
+
+    /** Whether callers are served. */
+    [[nodiscard]] auto isReady() const -> bool;
+
+    /** Whether the caller server could not start. */
+    [[nodiscard]] auto hasFailed() const -> bool;
+
+    [[nodiscard]] auto configuration() const -> ConfigurationPointer;
+    [[nodiscard]] auto knowledge() -> Knowledge &;
+    [[nodiscard]] auto membership() const -> const Membership &;
+    [[nodiscard]] auto follower() const -> const ConfigurationFollower &;
+
+private:
+    auto ownState() const -> peer::HostState;
+    auto heard(const PeerNews &news) -> void;
+    auto prepare(const ConfigurationPointer &next) -> void;
+    auto openWhenReady() -> void;
+    auto startFacts(absl::Time firstAt) const -> StartFacts;
+    auto leave() -> void;
+
+    DaemonSettings settings_;
+    std::string run_;
+    std::atomic<bool> leaving_ = false;
+    std::atomic<bool> ready_ = false;
+    std::atomic<bool> failed_ = false;
+    std::atomic<bool> stopping_ = false;
+    CurrentConfiguration configuration_;
+    Knowledge knowledge_;
+    PeerClients peers_;
+    StoreClient store_;
+    ShareKeeper shares_;
+    RequestHandler requests_;
+    Membership membership_;
+    ConfigurationFollower follower_;
+    LookupHandler lookups_;
+    PeerServer peerServer_;
+    CallerServer callers_;
+    std::thread opener_;
+};
+
+}
--- /dev/null
+++ b/libraries/process/lookuphandler.cpp
@@ -0,0 +1,181 @@
+#include "process/lookuphandler.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+#include "request/httpfields.h"
+#include "request/runtoken.h"
+
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** The live hosts are collected again after this time, not for each lookup, which is to take less than 50 microseconds. */
+constexpr auto availableLifetime = absl::Milliseconds(100);
+
+constexpr auto statusBadRequest = 400;
+constexpr auto statusUnavailable = 503;
+
+auto writeRefusal(httplib::Response &response, int status, const std::string &reason, const std::string &message) -> void
+{
+    response.status = status;
+    response.set_header("Cache-Control", "no-store");
+    response.set_header("X-Request-Outcome", "not-run");
+    response.set_header("X-Refusal-Reason", reason);
+    response.set_content(nlohmann::json { { "reason", reason }, { "message", message }, { "outcome", "not-run" } }.dump(), "application/json");
+}
+
+/** The first value of a query parameter; empty when it is absent. The caller server hands over the target as it was sent. */
+auto queryParameter(const std::string &target, const std::string &name) -> std::string
+{
+    const auto start = target.find('?');
+    if (start == std::string::npos) {
+        return {};
+    }
+    const auto query = target.substr(start + 1);
+    for (const auto field : absl::StrSplit(query, '&')) {
+        const auto text = std::string(field.data(), field.size());
+        const auto equals = text.find('=');
+        if (equals != std::string::npos && text.substr(0, equals) == name) {
+            return percentDecoded(text.substr(equals + 1));
+        }
+    }
+    return {};
+}
+
+auto joinNames(const std::vector<EntryHost> &hosts) -> std::string
+{
+    auto names = std::string {};
+    for (const auto &host : hosts) {
+        names += (names.empty() ? "" : ",") + host.name_;
+    }
+    return names;
+}
+
+}
+
+LookupHandler::LookupHandler(LookupServices services)
+    : services_(std::move(services))
+    , seed_(stableHash(services_.run_))
+{
+}
+
+auto LookupHandler::configure(const ConfigurationPointer &configuration) -> void
+{
+    auto table = std::make_shared<const LookupTable>(buildLookupTable(configuration));
+    const auto lock = absl::MutexLock(&mutex_);
+    table_ = std::move(table);
+    availableAt_ = absl::InfinitePast();
+}
+
+auto LookupHandler::handle(const httplib::Request &request, httplib::Response &response) -> void
+{
+    const auto table = tableInForce();
+    if (table == nullptr) {
+        writeRefusal(response, statusUnavailable, "no_configuration", "this host has no configuration yet");
+        return;
+    }
+    const auto region = attempt([&] {
+        return regionOf(*table, request);
+    });
+    if (const auto *error = std::get_if<Error>(&region)) {
+        writeRefusal(response, statusBadRequest, "bad_client_address", describe(*error));
+        return;
+    }
+    const auto question = LookupQuestion { std::get<std::string>(region), queryParameter(request.target, "organisation"), stableHash("lookup", ++seed_) };
+    const auto decision = decideLookup(*table, *availableHosts(monotonicNow()), question);
+    logLine(wallNow(),
+            LogLevel::Info,
+            "lookup",
+            { { "client", queryParameter(request.target, "client") },
+              { "organisation", question.organisation_ },
+              { "region", question.region_ },
+              { "reason", lookupReasonName(decision.reason_) },
+              { "hosts", joinNames(decision.hosts_) },
+              { "revision", std::to_string(table->configuration_->revision_) } });
+    if (decision.hosts_.empty()) {
+        writeRefusal(response, statusUnavailable, "no_host_available", "no entry host is live");
+        return;
+    }
+    ++answered_;
+    writeAnswer(*table, decision, response);
+}
+
+auto LookupHandler::answered() const -> std::int64_t
+{
+    return answered_;
+}
+
+auto LookupHandler::tableInForce() const -> std::shared_ptr<const LookupTable>
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return table_;
+}
+
+auto LookupHandler::availableHosts(absl::Time now) -> std::shared_ptr<const AvailableHosts>
+{
+    const auto leaving = services_.leaving_();
+    {
+        const auto lock = absl::ReaderMutexLock(&mutex_);
+        if (available_ != nullptr && now - availableAt_ < availableLifetime && availableLeaving_ == leaving) {
+            return available_;
+        }
+    }
+    auto available = AvailableHosts {};
+    const auto views = services_.membership_->views();
+    for (const auto &view : views) {
+        if (isLive(view.heardAt_, now, views.size()) && !view.state_.leaving) {
+            available[view.host_.name_] = view.state_.run;
+        }
+    }
+    if (!leaving) {
+        available[services_.hostName_] = services_.run_;
+    }
+    const auto lock = absl::MutexLock(&mutex_);
+    available_ = std::make_shared<const AvailableHosts>(std::move(available));
+    availableAt_ = now;
+    availableLeaving_ = leaving;
+    return available_;
+}
+
+auto LookupHandler::regionOf(const LookupTable &table, const httplib::Request &request) const -> Result<std::string>
+{
+    const auto named = queryParameter(request.target, "client");
+    const auto client = named.empty() ? request.remote_addr : named;
+    auto ownRegion = regionOfZone(*table.configuration_, services_.zone_);
+    if (client.empty()) {
+        return ownRegion;
+    }
+    BOOST_LEAF_AUTO(region, regionOfClient(table, client));
+    return region.value_or(ownRegion);
+}
+
+auto LookupHandler::writeAnswer(const LookupTable &table, const LookupDecision &decision, httplib::Response &response) const -> void
+{
+    const auto lifetime = absl::ToInt64Seconds(services_.lifetime_);
+    const auto token = RunToken { decision.hosts_.front().name_, decision.run_, wallNow() + services_.lifetime_ + runTokenLifetime };
+    auto hosts = nlohmann::json::array();
+    for (const auto &host : decision.hosts_) {
+        hosts.push_back({ { "name", host.name_ }, { "address", host.address_ }, { "weight", lookupWeight } });
+    }
+    const auto body = nlohmann::json {
+        { "hosts", std::move(hosts) },
+        { "max_age_s", lifetime },
+        { "idempotency_key_prefix", formatRunToken(token, services_.secret_) + ":" },
+        { "revision", table.configuration_->revision_ },
+    };
+    response.status = 200;
+    response.set_header("Cache-Control", fmt::format("max-age={}", lifetime));
+    response.set_header("X-Request-Outcome", "ran");
+    response.set_content(body.dump(), "application/json");
+}
+
+}
--- /dev/null
+++ b/libraries/process/lookuphandler.h
@@ -0,0 +1,70 @@
+/** Answers callers' lookups over HTTP. */
+#pragma once
+
+#include "process/membership.h"
+#include "request/lookup.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lycheecleat
+{
+
+/** How long a run token stays valid beyond the lifetime of the answer that carries it, so that an operation can be retried under it. */
+inline constexpr auto runTokenLifetime = absl::Minutes(10);
+
+/** What lookups need; all outlive the handler. */
+struct LookupServices
+{
+    std::string hostName_;
+    std::string run_;
+    std::string zone_;
+    /** Fleet secret for run tokens. */
+    std::string secret_;
+    /** How long callers may keep an answer. */
+    absl::Duration lifetime_;
+    Membership *membership_ = nullptr;
+    /** Whether this host is leaving. */
+    std::function<bool()> leaving_;
+};
+
+/** Answers GET with the parameters client and organisation, both optional. Thread-safe. */
+class LookupHandler
+{
+public:
+    explicit LookupHandler(LookupServices services);
+
+    /** Takes over a configuration. */
+    auto configure(const ConfigurationPointer &configuration) -> void;
+
+    /** Answers one lookup. */
+    auto handle(const httplib::Request &request, httplib::Response &response) -> void;
+
+    /** Lookups answered with hosts. */
+    [[nodiscard]] auto answered() const -> std::int64_t;
+
+private:
+    auto tableInForce() const -> std::shared_ptr<const LookupTable>;
+    auto availableHosts(absl::Time now) -> std::shared_ptr<const AvailableHosts>;
+    auto regionOf(const LookupTable &table, const httplib::Request &request) const -> Result<std::string>;
+    auto writeAnswer(const LookupTable &table, const LookupDecision &decision, httplib::Response &response) const -> void;
+
+    LookupServices services_;
+    mutable absl::Mutex mutex_;
+    std::shared_ptr<const LookupTable> table_ ABSL_GUARDED_BY(mutex_);
+    std::shared_ptr<const AvailableHosts> available_ ABSL_GUARDED_BY(mutex_);
+    absl::Time availableAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+    bool availableLeaving_ ABSL_GUARDED_BY(mutex_) = false;
+    std::atomic<std::int64_t> answered_ = 0;
+    std::atomic<std::uint64_t> seed_;
+};
+
+}
