--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -392,19 +392,20 @@
 {
     auto command = std::vector<std::string> { programPath("lycheecleat") };
     command.insert(command.end(), arguments.begin(), arguments.end());
-    command.insert(command.end(), { "--store", storeAddress_ });
+    if (arguments.front() != "check") {
+        command.insert(command.end(), { "--store", storeAddress_ });
+    }
     return runProgram("tool", command, folder_, toolLimit);
 }
 
-auto Deployment::grantKey(const std::string &organisation, const std::string &keyName) -> std::string
+auto Deployment::grantKey(const std::string &organisation) -> GrantedKey
 {
-    const auto result = runTool({ "key", "grant", organisation, keyName, "--secret-file", secretFile_ });
-    const auto begin = result.output_.find("lk_");
-    if (result.exitCode_ != 0 || begin == std::string::npos) {
+    const auto result = runTool({ "key", "grant", organisation, "--secret-file", secretFile_, "--json" });
+    const auto report = Json::parse(result.output_, nullptr, false);
+    if (result.exitCode_ != 0 || !report.is_object()) {
         throw std::runtime_error("the key was not granted: " + result.output_ + result.errorOutput_);
     }
-    const auto end = result.output_.find_first_of(" \n\"", begin);
-    return result.output_.substr(begin, end - begin);
+    return GrantedKey { report.at("name").get<std::string>(), report.at("key").get<std::string>() };
 }
 
 auto Deployment::waitUntilAccepted(const std::string &key, std::chrono::milliseconds limit) -> void
--- a/tests/integration/support/deployment.h
+++ b/tests/integration/support/deployment.h
@@ -49,6 +49,15 @@
     std::map<std::string, std::string> ruleFiles_;
 };
 
+/** A key that the tool granted. */
+struct GrantedKey
+{
+    /** Public name, by which it is withdrawn. */
+    std::string name_;
+    /** The key itself. */
+    std::string key_;
+};
+
 /** A daemon's names and addresses. */
 struct TestHost
 {
@@ -116,11 +125,11 @@
     /** Applies the rule folder through the tool. */
     auto applyRules() -> ProgramResult;
 
-    /** Runs the command-line tool with the deployment's store and secret. */
+    /** Runs the command-line tool; the option --store is added where the command takes it. */
     auto runTool(const std::vector<std::string> &arguments) -> ProgramResult;
 
-    /** Grants a key through the tool and returns it. Throws when the tool fails. */
-    auto grantKey(const std::string &organisation, const std::string &keyName) -> std::string;
+    /** Grants a key through the tool. Throws when the tool fails. */
+    auto grantKey(const std::string &organisation) -> GrantedKey;
 
     /** Waits until every running daemon accepts a key. */
     auto waitUntilAccepted(const std::string &key, std::chrono::milliseconds limit = std::chrono::seconds(6)) -> void;
--- a/tests/integration/wholepathtest.cpp
+++ b/tests/integration/wholepathtest.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("a folder is applied and requests are served by its rules")
 {
     auto deployment = Deployment(DeploymentSettings {});
-    const auto key = deployment.grantKey("alpha", "alpha-1");
+    const auto key = deployment.grantKey("alpha").key_;
     deployment.waitUntilAccepted(key);
     const auto unknownKey = std::string("lk_") + std::string(64, '0');
     const auto cases = std::vector<AccessCase> {
@@ -73,7 +73,7 @@
 TEST_CASE("a request on a route that is not repeatable runs once, however often it is sent")
 {
     auto deployment = Deployment(DeploymentSettings {});
-    const auto key = deployment.grantKey("alpha", "alpha-1");
+    const auto key = deployment.grantKey("alpha").key_;
     deployment.waitUntilAccepted(key);
     auto caller = Caller {};
     auto lookupRequest = CallerRequest {};
--- a/utilities/lycheecleat/report.cpp
+++ b/utilities/lycheecleat/report.cpp
@@ -21,7 +21,8 @@
 /** Every other step is a call to the store or to a host. */
 auto codeOf(const Error &error) -> ExitCode
 {
-    constexpr auto wrongSteps = std::array<std::string_view, 7> { checkStep, packStep, readFolderStep, folderStateStep, requestStep, "read secret", "read file" };
+    constexpr auto wrongSteps =
+        std::array<std::string_view, 7> { checkStep, packStep, readFolderStep, folderStateStep, requestStep, "read secret", "read file" };
     if (error.step_ == mergeStep || error.step_ == swapStep) {
         return ExitCode::Conflict;
     }
