Let the daemon say which peers are live

With many hosts a daemon hears each peer less often than every 3 s, so that a fixed age would take live hosts for stopped and zones for unconfirmed. The status names live peers; the age decides only when it does not. 285 assertions of the connection tests passed.

--- a/libraries/connection/hoststatus.cpp
+++ b/libraries/connection/hoststatus.cpp
@@ -22,6 +22,9 @@
     peer.zone_ = json.at("zone").get<std::string>();
     peer.revision_ = json.at("revision").get<std::int64_t>();
     peer.age_ = absl::Milliseconds(json.at("age_ms").get<double>());
+    if (json.contains("live")) {
+        peer.live_ = json.at("live").get<bool>();
+    }
     return peer;
 }
 
@@ -46,7 +49,7 @@
     for (const auto &status : statuses) {
         noteHost(hosts, status.host_, { status.zone_, status.revision_ });
         for (const auto &peer : status.peers_) {
-            if (peer.age_ <= longestPeerAge) {
+            if (peer.live_.value_or(peer.age_ <= longestPeerAge)) {
                 noteHost(hosts, peer.name_, { peer.zone_, peer.revision_ });
             }
         }
--- a/libraries/connection/hoststatus.h
+++ b/libraries/connection/hoststatus.h
@@ -6,13 +6,14 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace lycheecleat
 {
 
-/** Peers not heard for longer than this are taken for stopped; peers exchange every 500 ms. */
+/** Peers not heard for longer than this are taken for stopped if the daemon does not say; peers exchange every 500 ms. */
 inline constexpr auto longestPeerAge = absl::Seconds(3);
 
 /** A peer as one daemon last heard it. */
@@ -23,6 +24,8 @@
     std::int64_t revision_ = 0;
     /** Time since the daemon last heard the peer. */
     absl::Duration age_ = absl::ZeroDuration();
+    /** What the daemon says, which knows how often it hears its peers; absent when it does not say. */
+    std::optional<bool> live_ = std::nullopt;
 
     auto operator==(const PeerStatus &other) const -> bool = default;
 };
--- a/libraries/connection/hoststatustest.cpp
+++ b/libraries/connection/hoststatustest.cpp
@@ -36,6 +36,8 @@
         { "one host of a zone is behind", { { "h1", "a", 7, { peer("h2", "b", 7), peer("h3", "b", 6) } } }, { "b" } },
         { "a stopped host does not count", { { "h1", "a", 7, { peer("h2", "b", 7), peer("h3", "b", 6, absl::Seconds(9)) } } }, {} },
         { "a zone that is not heard", { { "h1", "a", 7, { peer("h2", "b", 7, absl::Seconds(9)) } } }, { "b" } },
+        { "the daemon takes a silent peer for live", { { "h1", "a", 7, { { "h2", "b", 6, absl::Seconds(9), true } } } }, { "b" } },
+        { "the daemon takes a recent peer for stopped", { { "h1", "a", 7, { peer("h2", "b", 7), { "h3", "b", 6, absl::Seconds(1), false } } } }, {} },
         { "the newest report counts", { { "h1", "a", 7, { peer("h2", "b", 6) } }, { "h2", "b", 7, { peer("h1", "a", 6) } } }, {} },
     };
     for (const auto &confirmationCase : cases) {
