--- /dev/null
+++ b/utilities/lycheecleat/keywithdrawcommand.cpp
@@ -0,0 +1,113 @@
+#include "commands.h"
+
+#include "store.h"
+#include "version/keyfile.h"
+#include "version/rulefolder.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** The edit that withdraws a key. Errors: the key is not in its own file. */
+auto makeWithdrawal(const RuleFiles &files, const std::string &name) -> Result<FileEdit>
+{
+    const auto fileName = keyFileName(name);
+    const auto file = std::find_if(files.begin(), files.end(), [&](const RuleFile &candidate) {
+        return candidate.name_ == fileName;
+    });
+    if (file == files.end()) {
+        return makeError(requestStep, name, fmt::format("the store holds no file {}; allowed: the name of a granted key", fileName));
+    }
+    const auto configuration = checkRules({ *file }).configuration_;
+    const auto *key = findByName(configuration.keys_, name);
+    if (key == nullptr) {
+        return makeError(requestStep, name, fmt::format("{} defines no key of this name", fileName));
+    }
+    auto withdrawn = *key;
+    withdrawn.active_ = false;
+    return FileEdit { fileName, file->content_, keyFile(withdrawn).content_ };
+}
+
+/** Withdraws the key in the store. */
+auto withdrawInStore(const Arguments &arguments, const std::string &name) -> Result<Report>
+{
+    BOOST_LEAF_AUTO(stored, readStoredFiles(arguments));
+    BOOST_LEAF_AUTO(edit, makeWithdrawal(stored.files_, name));
+    return applyAndConfirm(arguments, { edit }, "key-withdraw");
+}
+
+/** Submits the withdrawal to one daemon and describes the answer. Gives whether the withdrawal is accepted. */
+auto withdrawAt(const AdministrationAddress &daemon, const std::string &name, Report &report) -> bool
+{
+    const auto outcome = attempt([&]() {
+        return submitWithdrawal(daemon, name);
+    });
+    if (const auto *error = std::get_if<Error>(&outcome)) {
+        report.text_ += describe(*error) + "\n";
+        report.json_["hosts"].push_back({ { "address", daemon.address_ }, { "error", error->message_ } });
+        return false;
+    }
+    const auto &status = std::get<WithdrawalStatus>(outcome);
+    constexpr auto line = "{}: {}; confirmed by {} of {} zones: {}\n";
+    const auto *verdict = status.accepted_ ? "accepted" : "not accepted yet";
+    report.text_ += fmt::format(line, daemon.address_, verdict, status.confirmedZones_.size(), status.zones_.size(), fmt::join(status.confirmedZones_, ", "));
+    report.json_["hosts"].push_back(
+        { { "address", daemon.address_ }, { "accepted", status.accepted_ }, { "confirmed_zones", status.confirmedZones_ }, { "zones", status.zones_ } });
+    return status.accepted_;
+}
+
+auto withdrawAtDaemons(const std::vector<AdministrationAddress> &daemons, const std::string &name) -> Report
+{
+    auto report = Report {};
+    auto accepted = false;
+    for (const auto &daemon : daemons) {
+        accepted = withdrawAt(daemon, name, report) || accepted;
+    }
+    report.code_ = accepted ? ExitCode::Success : ExitCode::Unreachable;
+    report.json_["accepted"] = accepted;
+    return report;
+}
+
+/** Joins the reports. A withdrawal that either the store or the hosts accepted is in force. */
+auto joinReports(const Report &hosts, const Report &store) -> Report
+{
+    auto joined = store;
+    joined.text_ = hosts.text_ + store.text_;
+    joined.json_.update(hosts.json_);
+    if (hosts.code_ == ExitCode::Success && store.code_ == ExitCode::Unreachable) {
+        joined.code_ = ExitCode::Success;
+        joined.text_ += "the hosts hold the withdrawal; repeat the command when the store answers, since hosts that restart learn it from the store\n";
+    }
+    return joined;
+}
+
+}
+
+auto runKeyWithdraw(const Arguments &arguments) -> Result<Report>
+{
+    const auto name = textOf(arguments, "NAME");
+    BOOST_LEAF_AUTO(daemons, daemonsOf(arguments));
+    const auto inStore = isGiven(arguments, "--store");
+    if (!inStore && daemons.empty()) {
+        return makeError(requestStep, name, "give --store, --admin or both");
+    }
+    // The hosts come first: a withdrawal must not wait for a store that is down.
+    const auto hosts = withdrawAtDaemons(daemons, name);
+    if (!inStore) {
+        return hosts;
+    }
+    const auto outcome = attempt([&]() {
+        return withdrawInStore(arguments, name);
+    });
+    const auto *error = std::get_if<Error>(&outcome);
+    return joinReports(hosts, error == nullptr ? std::get<Report>(outcome) : reportError(*error));
+}
+
+}
