--- a/libraries/process/shareinvarianttest.cpp
+++ b/libraries/process/shareinvarianttest.cpp
@@ -221,7 +221,7 @@
         host.isTakingSlot_ = false;
     }
 
-    auto isConnected(const SimulatedHost &left, const SimulatedHost &right) const -> bool
+    [[nodiscard]] auto isConnected(const SimulatedHost &left, const SimulatedHost &right) const -> bool
     {
         return left.cutOffUntil_ <= now_ && right.cutOffUntil_ <= now_;
     }
