--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -47,18 +47,6 @@
     }
 }
 
-auto parseAddress(const std::string &address, sockaddr_in &parsed) -> bool
-{
-    const auto colon = address.rfind(':');
-    auto port = 0;
-    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port <= 0 || port > 65535) {
-        return false;
-    }
-    parsed.sin_family = AF_INET;
-    parsed.sin_port = htons(static_cast<std::uint16_t>(port));
-    return inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed.sin_addr) == 1;
-}
-
 auto describeErrno(int code) -> std::string
 {
     auto buffer = std::array<char, 128> {};
@@ -67,6 +55,27 @@
 
 }
 
+auto parseSocketName(const std::string &text, sockaddr_storage &parsed) -> socklen_t
+{
+    const auto colon = text.rfind(':');
+    auto port = 0;
+    if (colon == std::string::npos || colon == 0 || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port < 0 || port > 65535) {
+        return 0;
+    }
+    const auto host = text.substr(0, colon);
+    const auto bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed) {
+        auto *address = reinterpret_cast<sockaddr_in6 *>(&parsed);
+        address->sin6_family = AF_INET6;
+        address->sin6_port = htons(static_cast<std::uint16_t>(port));
+        return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &address->sin6_addr) == 1 ? sizeof(sockaddr_in6) : 0;
+    }
+    auto *address = reinterpret_cast<sockaddr_in *>(&parsed);
+    address->sin_family = AF_INET;
+    address->sin_port = htons(static_cast<std::uint16_t>(port));
+    return inet_pton(AF_INET, host.c_str(), &address->sin_addr) == 1 ? sizeof(sockaddr_in) : 0;
+}
+
 TcpConnection::TcpConnection(int socket)
     : socket_(socket)
 {
@@ -96,18 +105,19 @@
 
 auto TcpConnection::connect(const std::string &address, absl::Time deadline) -> Result<TcpConnection>
 {
-    auto parsed = sockaddr_in {};
-    if (!parseAddress(address, parsed)) {
-        return makeError("connect", address, "the address must be an IPv4 address and a port");
+    auto parsed = sockaddr_storage {};
+    const auto length = parseSocketName(address, parsed);
+    if (length == 0) {
+        return makeError("connect", address, "the address must be an IP address and a port");
     }
-    auto connection = TcpConnection(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    auto connection = TcpConnection(::socket(parsed.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (connection.socket_ < 0) {
         return makeError("connect", address, describeErrno(errno));
     }
     // A request is written at once, so waiting for more data to send only adds delay.
     const auto enabled = 1;
     setsockopt(connection.socket_, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-    if (::connect(connection.socket_, reinterpret_cast<const sockaddr *>(&parsed), sizeof(parsed)) == 0) {
+    if (::connect(connection.socket_, reinterpret_cast<const sockaddr *>(&parsed), length) == 0) {
         return connection;
     }
     if (errno != EINPROGRESS) {
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -4,6 +4,7 @@
 #include "core/error.h"
 
 #include <absl/time/time.h>
+#include <sys/socket.h>
 
 #include <cstddef>
 #include <string>
@@ -22,6 +23,9 @@
     TimedOut,
 };
 
+/** Parses "127.0.0.1:80" or "[::1]:80" with any port from 0. Returns the length of the parsed address, 0 when the text is malformed. */
+[[nodiscard]] auto parseSocketName(const std::string &text, sockaddr_storage &parsed) -> socklen_t;
+
 /** Owns one socket. Reads are buffered. Deadlines are monotonic; waiting for a socket is the one reason for this library to read the clock. */
 class TcpConnection
 {
--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -8,7 +8,6 @@
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/strings/numbers.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
 #include <arpa/inet.h>
@@ -124,13 +123,22 @@
     return equalIgnoringCase(headerValue(headers, "expect"), "100-continue");
 }
 
-auto addressText(const sockaddr_in &address) -> std::string
+auto addressText(const sockaddr_storage &address) -> std::string
 {
-    auto buffer = std::array<char, INET_ADDRSTRLEN> {};
-    inet_ntop(AF_INET, &address.sin_addr, buffer.data(), buffer.size());
+    auto buffer = std::array<char, INET6_ADDRSTRLEN> {};
+    const auto *ip = address.ss_family == AF_INET6 ? static_cast<const void *>(&reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_addr)
+                                                   : static_cast<const void *>(&reinterpret_cast<const sockaddr_in *>(&address)->sin_addr);
+    inet_ntop(address.ss_family, ip, buffer.data(), buffer.size());
     return buffer.data();
 }
 
+auto portOf(const sockaddr_storage &address) -> int
+{
+    const auto port =
+        address.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_port : reinterpret_cast<const sockaddr_in *>(&address)->sin_port;
+    return ntohs(port);
+}
+
 }
 
 struct CallerServer::State
@@ -195,25 +203,20 @@
 
 auto CallerServer::State::bind() -> Result<void>
 {
-    const auto colon = settings_.address_.rfind(':');
-    auto requestedPort = 0;
-    auto address = sockaddr_in {};
-    address.sin_family = AF_INET;
-    const auto parsed = colon != std::string::npos && absl::SimpleAtoi(settings_.address_.substr(colon + 1), &requestedPort)
-        && inet_pton(AF_INET, settings_.address_.substr(0, colon).c_str(), &address.sin_addr) == 1;
-    if (!parsed) {
-        return makeError("listen for callers", settings_.address_, "the address must be an IPv4 address and a port");
-    }
-    address.sin_port = htons(static_cast<std::uint16_t>(requestedPort));
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    auto address = sockaddr_storage {};
+    const auto length = parseSocketName(settings_.address_, address);
+    if (length == 0) {
+        return makeError("listen for callers", settings_.address_, "the address must be an IP address and a port");
+    }
+    listener_ = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const auto enabled = 1;
     setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-    if (::bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || listen(listener_, listenBacklog) != 0) {
+    if (::bind(listener_, reinterpret_cast<const sockaddr *>(&address), length) != 0 || listen(listener_, listenBacklog) != 0) {
         return makeError("listen for callers", settings_.address_, std::generic_category().message(errno));
     }
     auto size = socklen_t { sizeof(address) };
     getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
-    port_ = ntohs(address.sin_port);
+    port_ = portOf(address);
     epoll_ = epoll_create1(EPOLL_CLOEXEC);
     wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     auto listenEvent = epoll_event { EPOLLIN | EPOLLEXCLUSIVE, { .u64 = listenerId } };
@@ -243,7 +246,7 @@
 auto CallerServer::State::acceptAll() -> void
 {
     while (true) {
-        auto address = sockaddr_in {};
+        auto address = sockaddr_storage {};
         auto size = socklen_t { sizeof(address) };
         const auto socket = accept4(listener_, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (socket < 0) {
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -204,12 +204,14 @@
     auto answerTo(RequestState &state) -> Answer;
     auto log(const RequestState &state, const Answer &answer, const Refusal *refusal) const -> void;
     auto nextRequestId() -> std::string;
+    auto latestWallTime() -> absl::Time;
 
     RequestServices services_;
     Dispatcher dispatcher_;
     KeyIndexCache keys_;
     OnceKeys once_;
     std::atomic<std::uint64_t> requestCount_ = 0;
+    std::atomic<std::int64_t> latestWallMicros_ = 0;
     std::atomic<int> inFlight_ = 0;
 };
 
@@ -220,6 +222,15 @@
 {
 }
 
+// The wall clock may be set back; a token that has expired here must not become valid again after its keys were forgotten.
+auto RequestHandler::State::latestWallTime() -> absl::Time
+{
+    const auto now = absl::ToUnixMicros(wallNow());
+    auto latest = latestWallMicros_.load();
+    while (latest < now && !latestWallMicros_.compare_exchange_weak(latest, now)) { }
+    return absl::FromUnixMicros(std::max(latest, now));
+}
+
 auto RequestHandler::State::nextRequestId() -> std::string
 {
     return fmt::format("{}-{:x}", services_.run_, requestCount_.fetch_add(1, std::memory_order_relaxed));
@@ -326,7 +337,7 @@
         // A forwarded request that names another run was addressed to an earlier run of this host.
         return token.host_ == services_.hostName_ || state.addressedRun_ ? Served { Refusal::RunEnded } : forward(state, token);
     }
-    const auto wallTime = wallNow();
+    const auto wallTime = latestWallTime();
     const auto keepUntil = state.receivedAt_ + (token.expiry_ - wallTime) + tokenRetention;
     const auto once = OnceRequest { state.organisation_, key.text_, digestOf(state.content_), keepUntil };
     // A key that is not known after the expiry may have run and been forgotten, so its outcome is unknown.
--- a/libraries/request/oncetable.cpp
+++ b/libraries/request/oncetable.cpp
@@ -6,6 +6,10 @@
 namespace
 {
 
+// A sweep visits every key, so it is not made for each request, and more often only when it is needed.
+constexpr auto sweepInterval = absl::Seconds(10);
+constexpr auto sweepIntervalWhenFull = absl::Seconds(1);
+
 auto bytesOf(const OnceEntry &entry) -> std::size_t
 {
     if (!entry.answer_) {
@@ -44,8 +48,10 @@
             return OnceDecision::AnswerUnknown;
         }
     }
-    if (entries_.size() >= maximumEntries_) {
+    const auto interval = entries_.size() >= maximumEntries_ ? sweepIntervalWhenFull : sweepInterval;
+    if (now - sweptAt_ >= interval) {
         removeExpired(now);
+        sweptAt_ = now;
     }
     // A key that is dropped early could run a second time, so a full table refuses instead of evicting.
     if (entries_.size() >= maximumEntries_) {
--- a/libraries/request/oncetable.h
+++ b/libraries/request/oncetable.h
@@ -89,6 +89,7 @@
 
     auto removeExpired(absl::Time now) -> void;
 
+    absl::Time sweptAt_ = absl::InfinitePast();
     std::size_t maximumEntries_;
     std::size_t maximumAnswerBytes_;
     std::size_t answerBytes_ = 0;
--- a/libraries/request/oncetabletest.cpp
+++ b/libraries/request/oncetabletest.cpp
@@ -70,3 +70,14 @@
     CHECK(table.begin(start, "o", "a", "d", later) == OnceDecision::Replay);
     CHECK(table.begin(start, "o", "b", "d", later) == OnceDecision::AnswerUnknown);
 }
+
+// Guards against answers of expired keys that use up the room for new ones.
+TEST_CASE("answers of expired keys are dropped before the table is full")
+{
+    auto table = OnceTable(10, 8);
+    CHECK(table.begin(start, "o", "a", "d", later) == OnceDecision::Execute);
+    table.finish("o", "a", answerOf(8));
+    CHECK(table.begin(later, "o", "b", "d", later + absl::Minutes(1)) == OnceDecision::Execute);
+    table.finish("o", "b", answerOf(8));
+    CHECK(table.begin(later, "o", "b", "d", later) == OnceDecision::Replay);
+}
