Let the linter's compiler build the handler test

Cause: clang-tidy 14 rejects a structured binding captured by a lambda, which CAPTURE makes. Change: the loop names the pair; the checks are the same.

--- a/libraries/process/requesthandlertest.cpp
+++ b/libraries/process/requesthandlertest.cpp
@@ -214,9 +214,9 @@
         { "/read", { { "Cookie", "a=1; api_key=caller-key-1; b=2" } } },
         { "/open?api_key=caller-key-1", {} },
     };
-    for (const auto &[target, headers] : carriers) {
-        CAPTURE(target);
-        const auto response = host.handle("POST", target, headers, "body");
+    for (const auto &carrier : carriers) {
+        CAPTURE(carrier.first);
+        const auto response = host.handle("POST", carrier.first, carrier.second, "body");
         CHECK(response.status == 200);
         CHECK(response.get_header_value("X-Request-Outcome") == "ran");
     }
