--- a/libraries/connection/peerclients.cpp
+++ b/libraries/connection/peerclients.cpp
@@ -13,6 +13,7 @@
 #include <thrift/transport/TSocket.h>
 
 #include <algorithm>
+#include <atomic>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -33,6 +34,40 @@
 /** Age at which an idle connection is closed. Peers close theirs after a longer time, so that a call doesn't meet a connection just closed. */
 constexpr auto maximumIdleTime = absl::Seconds(10);
 
+/** Bytes on all connections. */
+struct ByteCounts
+{
+    std::atomic<std::int64_t> sent_ = 0;
+    std::atomic<std::int64_t> received_ = 0;
+};
+
+/** A socket that counts its bytes. */
+class CountingSocket : public TSocket
+{
+public:
+    CountingSocket(const SocketAddress &address, ByteCounts &counts)
+        : TSocket(address.ip_, address.port_)
+        , counts_(counts)
+    {
+    }
+
+    auto read(uint8_t *buffer, uint32_t length) -> uint32_t override
+    {
+        const auto received = TSocket::read(buffer, length);
+        counts_.received_ += received;
+        return received;
+    }
+
+    auto write(const uint8_t *buffer, uint32_t length) -> void override
+    {
+        counts_.sent_ += length;
+        TSocket::write(buffer, length);
+    }
+
+private:
+    ByteCounts &counts_;
+};
+
 /** A framed Thrift connection. */
 struct Connection
 {
@@ -64,10 +99,10 @@
     socket.setRecvTimeout(milliseconds);
 }
 
-auto openConnection(const SocketAddress &address, absl::Duration timeout) -> Connection
+auto openConnection(const SocketAddress &address, absl::Duration timeout, ByteCounts &counts) -> Connection
 {
     auto connection = Connection {};
-    connection.socket_ = std::make_shared<TSocket>(address.ip_, address.port_);
+    connection.socket_ = std::make_shared<CountingSocket>(address, counts);
     connection.socket_->setNoDelay(true);
     setTimeouts(*connection.socket_, timeout);
     const auto framed = std::make_shared<TFramedTransport>(connection.socket_);
@@ -107,26 +142,45 @@
 
     /** Runs one call on a pooled or new connection, which returns to the pool only after success. */
     template<typename Reply, typename Call>
-    auto run(const char *step, const std::string &address, absl::Duration timeout, Call call) -> Result<Reply>
+    auto run(const char *kind, const char *step, const std::string &address, absl::Duration timeout, Call call) -> Result<Reply>
     {
+        count(calls_, kind);
         silenceThriftOutput();
         const auto parsed = parseSocketAddress(address);
         if (!parsed) {
+            count(failures_, kind);
             return makeError(step, address, "is not an IP address with a port");
         }
         try {
             auto pooled = take(address, monotonicNow());
-            auto connection = pooled ? std::move(*pooled) : openConnection(*parsed, timeout);
+            auto connection = pooled ? std::move(*pooled) : openConnection(*parsed, timeout, bytes_);
             setTimeouts(*connection.socket_, timeout);
             auto reply = Reply {};
             call(*connection.client_, reply);
             put(address, std::move(connection), monotonicNow());
             return reply;
         } catch (const std::exception &exception) {
+            count(failures_, kind);
             return makeError(step, address, exception.what());
         }
     }
 
+    auto count(std::map<std::string, std::int64_t> &counts, const char *kind) -> void
+    {
+        const auto lock = absl::MutexLock(&countMutex_);
+        ++counts[kind];
+    }
+
+    auto traffic() -> PeerTraffic
+    {
+        const auto lock = absl::MutexLock(&countMutex_);
+        return PeerTraffic { calls_, failures_, bytes_.sent_, bytes_.received_ };
+    }
+
+    ByteCounts bytes_;
+    absl::Mutex countMutex_;
+    std::map<std::string, std::int64_t> calls_;
+    std::map<std::string, std::int64_t> failures_;
     absl::Mutex mutex_;
     absl::flat_hash_map<std::string, std::vector<Connection>> idle_ ABSL_GUARDED_BY(mutex_);
 };
@@ -138,9 +192,14 @@
 
 PeerClients::~PeerClients() = default;
 
+auto PeerClients::traffic() const -> PeerTraffic
+{
+    return connections_->traffic();
+}
+
 auto PeerClients::exchange(const std::string &address, const peer::HostState &state, absl::Duration timeout) -> Result<peer::HostState>
 {
-    return connections_->run<peer::HostState>("exchange state with peer", address, timeout, [&](peer::PeerClient &client, peer::HostState &reply) {
+    return connections_->run<peer::HostState>("exchange", "exchange state with peer", address, timeout, [&](peer::PeerClient &client, peer::HostState &reply) {
         client.exchange(reply, state);
     });
 }
@@ -150,7 +209,7 @@
     const auto call = [&](peer::PeerClient &client, peer::ConfigurationBundle &reply) {
         client.fetchBundle(reply, revision);
     };
-    return connections_->run<peer::ConfigurationBundle>("fetch configuration from peer", address, timeout, call);
+    return connections_->run<peer::ConfigurationBundle>("fetch_bundle", "fetch configuration from peer", address, timeout, call);
 }
 
 auto PeerClients::borrowRate(const std::string &address,
@@ -161,7 +220,7 @@
                              double burst,
                              absl::Duration timeout) -> Result<peer::RateLoan>
 {
-    return connections_->run<peer::RateLoan>("borrow rate from peer", address, timeout, [&](peer::PeerClient &client, peer::RateLoan &reply) {
+    return connections_->run<peer::RateLoan>("borrow_rate", "borrow rate from peer", address, timeout, [&](peer::PeerClient &client, peer::RateLoan &reply) {
         client.borrowRate(reply, borrower, revision, limit, rate, burst);
     });
 }
@@ -173,7 +232,7 @@
                               int count,
                               absl::Duration timeout) -> Result<peer::SlotLoan>
 {
-    return connections_->run<peer::SlotLoan>("borrow slots from peer", address, timeout, [&](peer::PeerClient &client, peer::SlotLoan &reply) {
+    return connections_->run<peer::SlotLoan>("borrow_slots", "borrow slots from peer", address, timeout, [&](peer::PeerClient &client, peer::SlotLoan &reply) {
         client.borrowSlots(reply, borrower, revision, pool, count);
     });
 }
@@ -183,7 +242,7 @@
     const auto call = [&](peer::PeerClient &client, peer::ForwardedAnswer &reply) {
         client.forward(reply, request);
     };
-    return connections_->run<peer::ForwardedAnswer>("forward request to peer", address, timeout, call);
+    return connections_->run<peer::ForwardedAnswer>("forward", "forward request to peer", address, timeout, call);
 }
 
 }
--- a/libraries/connection/peerclients.h
+++ b/libraries/connection/peerclients.h
@@ -7,12 +7,24 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
 namespace lycheecleat
 {
 
+/** Calls to peers and their traffic, for metrics. */
+struct PeerTraffic
+{
+    /** Calls by kind. */
+    std::map<std::string, std::int64_t> calls_;
+    /** Failed calls by kind. */
+    std::map<std::string, std::int64_t> failures_;
+    std::int64_t bytesSent_ = 0;
+    std::int64_t bytesReceived_ = 0;
+};
+
 /**
  * Calls peers by IP address and port, over pooled connections. A call that fails or times out closes its connection, so a late reply
  * is never taken for the reply of a later call. Safe to call from several threads. Errors name the peer.
@@ -39,6 +51,9 @@
         -> Result<peer::SlotLoan>;
     [[nodiscard]] auto forward(const std::string &address, const peer::ForwardedRequest &request, absl::Duration timeout) -> Result<peer::ForwardedAnswer>;
 
+    /** Calls and bytes so far. */
+    [[nodiscard]] auto traffic() const -> PeerTraffic;
+
 private:
     struct Connections;
     std::unique_ptr<Connections> connections_;
--- a/libraries/process/configurationfollower.cpp
+++ b/libraries/process/configurationfollower.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/log.h"
+#include "process/processortime.h"
 #include "version/rulefolder.h"
 
 #include <fmt/format.h>
@@ -213,6 +214,11 @@
     return counts_;
 }
 
+auto ConfigurationFollower::processorTime() -> absl::Duration
+{
+    return processorTimeOf(threads_);
+}
+
 auto ConfigurationFollower::followStore() -> void
 {
     while (!isStopping()) {
@@ -261,7 +267,7 @@
     });
     {
         const auto lock = absl::MutexLock(&mutex_);
-        ++counts_.storeCalls_;
+        ++counts_.headWatches_;
     }
     if (const auto *error = std::get_if<Error>(&outcome)) {
         {
@@ -334,7 +340,7 @@
         }
         {
             const auto lock = absl::MutexLock(&mutex_);
-            ++counts_.storeCalls_;
+            ++counts_.chunkReads_;
         }
         BOOST_LEAF_AUTO(entry, services_.store_.get_(chunkKeyPrefix + digest));
         bundle.chunks_[digest] = entry.value_;
@@ -350,7 +356,7 @@
     });
     {
         const auto lock = absl::MutexLock(&mutex_);
-        ++counts_.storeCalls_;
+        ++counts_.hostListReads_;
     }
     const auto *list = std::get_if<HostList>(&outcome);
     if (list == nullptr) {
--- a/libraries/process/configurationfollower.h
+++ b/libraries/process/configurationfollower.h
@@ -115,7 +115,9 @@
     std::int64_t adopted_ = 0;
     /** Heads that were refused because they were older, conflicting or wrong. */
     std::int64_t refusedHeads_ = 0;
-    std::int64_t storeCalls_ = 0;
+    std::int64_t headWatches_ = 0;
+    std::int64_t chunkReads_ = 0;
+    std::int64_t hostListReads_ = 0;
     std::int64_t storeFailures_ = 0;
     std::int64_t bundleFetches_ = 0;
 };
@@ -148,6 +150,9 @@
 
     [[nodiscard]] auto counts() const -> FollowerCounts;
 
+    /** Processor time of the threads that follow. Not to be called during start and stop. */
+    [[nodiscard]] auto processorTime() -> absl::Duration;
+
 private:
     /** What became of an offered configuration. */
     enum class Adoption {
--- a/libraries/process/daemon.cpp
+++ b/libraries/process/daemon.cpp
@@ -87,7 +87,10 @@
                                   &knowledge_,
                                   &shares_,
                                   &peers_,
-                                  &store_ })
+                                  &store_,
+                                  [this](const RequestObservation &observation) {
+                                      metrics_.observe(observation);
+                                  } })
     , membership_(MembershipServices { settings_.settings_.name_,
                                        &peers_,
                                        [this] {
@@ -118,7 +121,8 @@
                                 [this] {
                                     return leaving_.load();
                                 } })
-    , peerServer_(settings_.settings_.peerListen_, std::make_shared<PeerHandler>(PeerServices { &membership_, &follower_, &shares_, &requests_ }))
+    , peerServer_(settings_.settings_.peerListen_,
+                  std::make_shared<PeerHandler>(PeerServices { &membership_, &follower_, &shares_, &requests_, &controlTime_ }))
     , callers_(callerSettings(settings_.settings_),
                CallerFunctions { [this](const httplib::Request &request, httplib::Response &response) {
                                     requests_.handle(request, response);
@@ -129,6 +133,7 @@
                                  [this](const httplib::Request &request) {
                                      return requests_.bodyLimit(request);
                                  } })
+    , administration_(administrationServices())
 {
 }
 
@@ -142,6 +147,8 @@
     BOOST_LEAF_CHECK(peerServer_.start());
     membership_.start();
     follower_.start();
+    // Last, since a report must not read the parts while they start.
+    BOOST_LEAF_CHECK(administration_.start());
     opener_ = std::thread([this] {
         openWhenReady();
     });
@@ -159,6 +166,7 @@
     if (ready_) {
         leave();
     }
+    administration_.stop();
     follower_.stop();
     membership_.stop();
     peerServer_.stop();
@@ -174,24 +182,56 @@
     return failed_;
 }
 
-auto Daemon::configuration() const -> ConfigurationPointer
+auto Daemon::facts() -> DaemonFacts
 {
-    return configuration_.get();
-}
-
-auto Daemon::knowledge() -> Knowledge &
-{
-    return knowledge_;
-}
-
-auto Daemon::membership() const -> const Membership &
-{
-    return membership_;
+    const auto now = monotonicNow();
+    const auto configuration = configuration_.get();
+    auto facts = DaemonFacts {};
+    facts.host_ = settings_.settings_.name_;
+    facts.run_ = run_;
+    facts.zone_ = settings_.settings_.zone_;
+    facts.now_ = now;
+    facts.ready_ = ready_;
+    facts.leaving_ = leaving_;
+    facts.configuration_ = configuration;
+    facts.knowledge_ = knowledge_.stateAt(now, *configuration);
+    facts.knowledgeAge_ = knowledge_.ageAt(now);
+    facts.storeReachable_ = knowledge_.storeReachable(now, reachableBound(configuration->platform_.freshness_));
+    facts.withdrawals_ = knowledge_.withdrawals();
+    facts.peers_ = membership_.views();
+    facts.inFlight_ = requests_.inFlight();
+    facts.threads_ = settings_.settings_.threads_;
+    facts.leavingTime_ = facts.leaving_ ? now - leavingAt_ : absl::ZeroDuration();
+    facts.follower_ = follower_.counts();
+    facts.traffic_ = peers_.traffic();
+    facts.controlTime_ = membership_.processorTime() + follower_.processorTime() + controlTime_.total();
+    facts.lookups_ = lookups_.answered();
+    return facts;
 }
 
-auto Daemon::follower() const -> const ConfigurationFollower &
+auto Daemon::administrationServices() -> AdministrationServices
 {
-    return follower_;
+    auto services = AdministrationServices {};
+    services.address_ = settings_.settings_.adminListen_;
+    services.operatorKey_ = settings_.operatorKey_;
+    services.zone_ = settings_.settings_.zone_;
+    services.configuration_ = &configuration_;
+    services.knowledge_ = &knowledge_;
+    services.membership_ = &membership_;
+    services.store_ = &store_;
+    services.status_ = [this] {
+        return statusOf(facts());
+    };
+    services.metrics_ = [this] {
+        return metrics_.text(metricValuesOf(facts()));
+    };
+    services.leavingBackends_ = [this] {
+        return follower_.leavingBackends(*configuration_.get());
+    };
+    services.ready_ = [this] {
+        return isReady() && !leaving_;
+    };
+    return services;
 }
 
 auto Daemon::ownState() const -> peer::HostState
@@ -287,6 +327,7 @@
 auto Daemon::leave() -> void
 {
     const auto startedAt = monotonicNow();
+    leavingAt_ = startedAt;
     leaving_ = true;
     membership_.exchangeSoon(startedAt);
     logEvent(LogLevel::Info, "leaving", { { "in_flight", std::to_string(requests_.inFlight()) } });
--- a/libraries/process/daemon.h
+++ b/libraries/process/daemon.h
@@ -3,13 +3,17 @@
 
 #include "connection/peerclients.h"
 #include "connection/storeclient.h"
+#include "process/administration.h"
 #include "process/callerserver.h"
 #include "process/configurationfollower.h"
 #include "process/currentconfiguration.h"
+#include "process/daemonreport.h"
 #include "process/knowledge.h"
 #include "process/lookuphandler.h"
 #include "process/membership.h"
+#include "process/metrics.h"
 #include "process/peerserver.h"
+#include "process/processortime.h"
 #include "process/requesthandler.h"
 #include "process/settings.h"
 #include "process/sharekeeper.h"
@@ -69,22 +73,25 @@
     /** Whether the caller server could not start. */
     [[nodiscard]] auto hasFailed() const -> bool;
 
-    [[nodiscard]] auto configuration() const -> ConfigurationPointer;
-    [[nodiscard]] auto knowledge() -> Knowledge &;
-    [[nodiscard]] auto membership() const -> const Membership &;
-    [[nodiscard]] auto follower() const -> const ConfigurationFollower &;
+    /** What this daemon reports about itself. Not to be called during start and stop. */
+    [[nodiscard]] auto facts() -> DaemonFacts;
 
 private:
     auto ownState() const -> peer::HostState;
     auto heard(const PeerNews &news) -> void;
     auto prepare(const ConfigurationPointer &next) -> void;
     auto openWhenReady() -> void;
+    auto administrationServices() -> AdministrationServices;
     auto startFacts(absl::Time firstAt) const -> StartFacts;
     auto leave() -> void;
 
     DaemonSettings settings_;
     std::string run_;
+    Metrics metrics_;
+    ProcessorTimeMeter controlTime_;
     std::atomic<bool> leaving_ = false;
+    /** Set once, before leaving_. */
+    absl::Time leavingAt_ = absl::InfiniteFuture();
     std::atomic<bool> ready_ = false;
     std::atomic<bool> failed_ = false;
     std::atomic<bool> stopping_ = false;
@@ -99,6 +106,7 @@
     LookupHandler lookups_;
     PeerServer peerServer_;
     CallerServer callers_;
+    Administration administration_;
     std::thread opener_;
 };
 
--- /dev/null
+++ b/libraries/process/daemonreport.cpp
@@ -0,0 +1,166 @@
+#include "process/daemonreport.h"
+
+#include "version/sharetable.h"
+
+#include <algorithm>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+/** Age in milliseconds; null when it is infinite. */
+auto describeAge(absl::Duration age) -> json
+{
+    return age == absl::InfiniteDuration() ? json(nullptr) : json(absl::ToInt64Milliseconds(age));
+}
+
+auto describePeerKnowledge(const peer::HostState &state) -> json
+{
+    constexpr auto microsPerMilli = 1000;
+    return state.knowledgeAgeMicros < 0 ? json(nullptr) : json(state.knowledgeAgeMicros / microsPerMilli);
+}
+
+auto describePeer(const DaemonFacts &facts, const PeerView &view) -> json
+{
+    return json { { "name", view.host_.name_ },
+                  { "zone", view.host_.zone_ },
+                  { "run", view.state_.run },
+                  { "revision", view.state_.revision },
+                  { "digest", view.state_.digest },
+                  { "age_ms", describeAge(facts.now_ - view.heardAt_) },
+                  { "live", isLive(view.heardAt_, facts.now_, facts.peers_.size()) },
+                  { "leaving", view.state_.leaving },
+                  { "store_reachable", view.state_.storeReachable },
+                  { "knowledge_age_ms", describePeerKnowledge(view.state_) },
+                  { "withdrawals", view.state_.withdrawals.size() } };
+}
+
+auto describeKnowledge(const DaemonFacts &facts) -> json
+{
+    return json { { "state", knowledgeStateName(facts.knowledge_) },
+                  { "age_ms", describeAge(facts.knowledgeAge_) },
+                  { "store_reachable", facts.storeReachable_ } };
+}
+
+/** Collects metric values. */
+struct Values
+{
+    std::vector<MetricValue> all_;
+
+    auto gauge(const char *name, const char *help, double value, std::map<std::string, std::string> labels = {}) -> void
+    {
+        all_.push_back(MetricValue { name, help, MetricKind::Gauge, std::move(labels), value });
+    }
+
+    auto counter(const char *name, const char *help, double value, std::map<std::string, std::string> labels = {}) -> void
+    {
+        all_.push_back(MetricValue { name, help, MetricKind::Counter, std::move(labels), value });
+    }
+};
+
+auto addRequests(Values &values, const DaemonFacts &facts) -> void
+{
+    values.gauge("lycheecleat_requests_in_flight", "Requests being served", facts.inFlight_);
+    values.gauge("lycheecleat_request_headroom", "Requests that could be served beside those in flight", std::max(0, facts.threads_ - facts.inFlight_));
+    values.counter("lycheecleat_lookups_total", "Lookups answered with hosts", static_cast<double>(facts.lookups_));
+    values.gauge("lycheecleat_leaving_seconds", "Time since this host began to leave; 0 when it isn't leaving", absl::ToDoubleSeconds(facts.leavingTime_));
+    for (const auto &pool : facts.configuration_->pools_) {
+        auto slots = 0;
+        for (const auto &owned : slotsOwned(*facts.configuration_, pool, facts.host_)) {
+            slots += owned.slots_;
+        }
+        values.gauge("lycheecleat_slots_owned", "Slots of backend servers that belong to this host", slots, { { "pool", pool.name_ } });
+    }
+}
+
+auto addKnowledge(Values &values, const DaemonFacts &facts) -> void
+{
+    values.gauge("lycheecleat_knowledge_age_seconds", "Age of the newest known state of the store", absl::ToDoubleSeconds(facts.knowledgeAge_));
+    for (const auto state : { KnowledgeState::Fresh, KnowledgeState::StoreDown, KnowledgeState::Isolated }) {
+        const auto holds = state == facts.knowledge_ ? 1 : 0;
+        values.gauge("lycheecleat_knowledge_state", "1 for the knowledge state that holds", holds, { { "state", knowledgeStateName(state) } });
+    }
+    values.gauge("lycheecleat_configuration_revision", "Revision in force", static_cast<double>(facts.configuration_->revision_));
+    values.counter("lycheecleat_configurations_adopted_total", "Revisions put in force", static_cast<double>(facts.follower_.adopted_));
+    values.counter("lycheecleat_configurations_refused_total",
+                   "Times a revision was refused as older, conflicting, damaged or wrong",
+                   static_cast<double>(facts.follower_.refusedHeads_));
+    values.gauge("lycheecleat_withdrawals_pending", "Withdrawals that the configuration doesn't show yet", static_cast<double>(facts.withdrawals_.size()));
+}
+
+auto addStoreCalls(Values &values, const DaemonFacts &facts) -> void
+{
+    constexpr auto name = "lycheecleat_store_calls_total";
+    constexpr auto help = "Calls to the store that follow the configuration and the host list, by kind";
+    values.counter(name, help, static_cast<double>(facts.follower_.headWatches_), { { "kind", "watch_head" } });
+    values.counter(name, help, static_cast<double>(facts.follower_.chunkReads_), { { "kind", "read_chunk" } });
+    values.counter(name, help, static_cast<double>(facts.follower_.hostListReads_), { { "kind", "read_host_list" } });
+    values.counter("lycheecleat_store_failures_total", "Calls to the store that failed", static_cast<double>(facts.follower_.storeFailures_));
+}
+
+auto addPeers(Values &values, const DaemonFacts &facts) -> void
+{
+    const auto live = std::count_if(facts.peers_.begin(), facts.peers_.end(), [&](const PeerView &view) {
+        return isLive(view.heardAt_, facts.now_, facts.peers_.size());
+    });
+    values.gauge("lycheecleat_peers_live", "Declared peers heard recently", static_cast<double>(live));
+    values.gauge("lycheecleat_peers_declared", "Declared peers", static_cast<double>(facts.peers_.size()));
+    for (const auto &[kind, count] : facts.traffic_.calls_) {
+        values.counter("lycheecleat_peer_calls_total", "Calls to other hosts, by kind", static_cast<double>(count), { { "kind", kind } });
+    }
+    for (const auto &[kind, count] : facts.traffic_.failures_) {
+        values.counter("lycheecleat_peer_failures_total", "Calls to other hosts that failed, by kind", static_cast<double>(count), { { "kind", kind } });
+    }
+    constexpr auto name = "lycheecleat_peer_bytes_total";
+    constexpr auto help = "Bytes of this host's calls to other hosts";
+    values.counter(name, help, static_cast<double>(facts.traffic_.bytesSent_), { { "direction", "sent" } });
+    values.counter(name, help, static_cast<double>(facts.traffic_.bytesReceived_), { { "direction", "received" } });
+    values.counter("lycheecleat_control_cpu_seconds_total", "Processor time of control", absl::ToDoubleSeconds(facts.controlTime_));
+}
+
+}
+
+auto statusOf(const DaemonFacts &facts) -> json
+{
+    auto peers = json::array();
+    auto silent = json::array();
+    for (const auto &view : facts.peers_) {
+        if (view.heardAt_ == absl::InfinitePast()) {
+            silent.push_back(view.host_.name_);
+        } else {
+            peers.push_back(describePeer(facts, view));
+        }
+    }
+    auto withdrawals = json::array();
+    for (const auto &withdrawal : facts.withdrawals_) {
+        withdrawals.push_back(withdrawal.keyId);
+    }
+    return json { { "host", facts.host_ },
+                  { "run", facts.run_ },
+                  { "zone", facts.zone_ },
+                  { "revision", facts.configuration_->revision_ },
+                  { "digest", facts.configuration_->digest_ },
+                  { "ready", facts.ready_ },
+                  { "leaving", facts.leaving_ },
+                  { "knowledge", describeKnowledge(facts) },
+                  { "in_flight", facts.inFlight_ },
+                  { "pending_withdrawals", std::move(withdrawals) },
+                  { "peers", std::move(peers) },
+                  { "silent_peers", std::move(silent) } };
+}
+
+auto metricValuesOf(const DaemonFacts &facts) -> std::vector<MetricValue>
+{
+    auto values = Values {};
+    addRequests(values, facts);
+    addKnowledge(values, facts);
+    addStoreCalls(values, facts);
+    addPeers(values, facts);
+    return values.all_;
+}
+
+}
--- /dev/null
+++ b/libraries/process/daemonreporttest.cpp
@@ -0,0 +1,82 @@
+#include "process/daemonreport.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+auto makeFacts() -> DaemonFacts
+{
+    auto configuration = Configuration {};
+    configuration.revision_ = 4;
+    configuration.digest_ = "d4";
+    auto heard = PeerView {};
+    heard.host_ = EntryHost { "h2", "b", "", "" };
+    heard.state_.run = "r2";
+    heard.state_.revision = 3;
+    heard.state_.knowledgeAgeMicros = 2500;
+    auto silent = PeerView {};
+    silent.host_ = EntryHost { "h3", "c", "", "" };
+    auto facts = DaemonFacts {};
+    facts.host_ = "h1";
+    facts.zone_ = "a";
+    facts.now_ = absl::UnixEpoch() + absl::Seconds(100);
+    heard.heardAt_ = facts.now_ - absl::Seconds(1);
+    facts.configuration_ = std::make_shared<const Configuration>(configuration);
+    facts.knowledgeAge_ = absl::InfiniteDuration();
+    facts.peers_ = { heard, silent };
+    facts.inFlight_ = 3;
+    facts.threads_ = 10;
+    return facts;
+}
+
+auto valueOf(const std::vector<MetricValue> &values, const std::string &name) -> double
+{
+    const auto found = std::find_if(values.begin(), values.end(), [&](const MetricValue &value) {
+        return value.name_ == name;
+    });
+    return found == values.end() ? -1 : found->value_;
+}
+
+}
+
+// Guards against a host that was never heard and looks like one that was just heard.
+TEST_CASE("the status lists heard peers with their age and others apart")
+{
+    const auto status = statusOf(makeFacts());
+    CHECK(status.at("revision") == 4);
+    CHECK(status.at("knowledge").at("age_ms").is_null());
+    REQUIRE(status.at("peers").size() == 1);
+    const auto &peer = status.at("peers").at(0);
+    CHECK(peer.at("name") == "h2");
+    CHECK(peer.at("age_ms") == 1000);
+    CHECK(peer.at("live") == true);
+    CHECK(peer.at("knowledge_age_ms") == 2);
+    CHECK(status.at("silent_peers") == nlohmann::json { "h3" });
+}
+
+// Guards against a metric whose values are torn apart: the text format allows each name once.
+TEST_CASE("the values of one metric stand together")
+{
+    auto facts = makeFacts();
+    facts.traffic_.calls_ = { { "exchange", 5 }, { "forward", 1 } };
+    const auto values = metricValuesOf(facts);
+    auto finished = std::set<std::string> {};
+    auto current = std::string {};
+    for (const auto &value : values) {
+        if (value.name_ != current) {
+            CHECK(finished.count(value.name_) == 0);
+            finished.insert(value.name_);
+            current = value.name_;
+        }
+    }
+    CHECK(valueOf(values, "lycheecleat_request_headroom") == 7);
+    CHECK(valueOf(values, "lycheecleat_configuration_revision") == 4);
+    CHECK(valueOf(values, "lycheecleat_peers_live") == 1);
+}
--- a/libraries/process/membership.cpp
+++ b/libraries/process/membership.cpp
@@ -1,8 +1,7 @@
 #include "process/membership.h"
 
 #include "core/clock.h"
-#include "core/digest.h"
-#include "core/log.h"
+#include "process/processortime.h"
 
 #include <algorithm>
 #include <set>
@@ -119,10 +118,9 @@
     return names;
 }
 
-auto Membership::counts() const -> ExchangeCounts
+auto Membership::processorTime() -> absl::Duration
 {
-    const auto lock = absl::ReaderMutexLock(&mutex_);
-    return counts_;
+    return processorTimeOf(threads_);
 }
 
 auto Membership::run() -> void
@@ -161,7 +159,6 @@
         services_.heard_(PeerNews { *answer, peer.host_.peer_, sentAt });
     }
     const auto lock = absl::MutexLock(&mutex_);
-    ++(succeeded ? counts_.succeeded_ : counts_.failed_);
     schedule_.finish(monotonicNow(), peer.host_.name_, succeeded);
     changed_.Signal();
 }
--- a/libraries/process/membership.h
+++ b/libraries/process/membership.h
@@ -65,13 +65,6 @@
     std::function<void(const PeerNews &)> heard_;
 };
 
-/** Counts of exchanges, for metrics. */
-struct ExchangeCounts
-{
-    std::int64_t succeeded_ = 0;
-    std::int64_t failed_ = 0;
-};
-
 /** Keeps up the exchanges. Thread-safe. */
 class Membership
 {
@@ -105,7 +98,8 @@
     /** Names of the peers that are live at a time. */
     [[nodiscard]] auto liveNames(absl::Time now) const -> std::vector<std::string>;
 
-    [[nodiscard]] auto counts() const -> ExchangeCounts;
+    /** Processor time of the threads that exchange. Not to be called during start and stop. */
+    [[nodiscard]] auto processorTime() -> absl::Duration;
 
 private:
     auto run() -> void;
@@ -119,7 +113,6 @@
     bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
     std::map<std::string, PeerView> views_ ABSL_GUARDED_BY(mutex_);
     ExchangeSchedule schedule_ ABSL_GUARDED_BY(mutex_);
-    ExchangeCounts counts_ ABSL_GUARDED_BY(mutex_);
     std::vector<std::thread> threads_;
 };
 
--- a/libraries/process/metrics.h
+++ b/libraries/process/metrics.h
@@ -1,7 +1,8 @@
 /** Metrics of the process in the Prometheus text format. */
 #pragma once
 
-#include <absl/time/time.h>
+#include "process/requestobservation.h"
+
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/histogram.h>
@@ -30,16 +31,6 @@
     double value_ = 0;
 };
 
-/** What became of one request. */
-struct RequestObservation
-{
-    /** Empty when it is not known. */
-    std::string organisation_;
-    /** Empty when the request was not refused. */
-    std::string refusalReason_;
-    absl::Duration duration_;
-};
-
 /** Collects observations of requests. Thread-safe. */
 class Metrics
 {
--- a/libraries/process/peerhandler.cpp
+++ b/libraries/process/peerhandler.cpp
@@ -12,12 +12,14 @@
 
 auto PeerHandler::exchange(peer::HostState &reply, const peer::HostState &sender) -> void
 {
+    const auto scope = ProcessorTimeMeter::Scope(*services_.controlTime_);
     services_.membership_->receive(monotonicNow(), sender);
     reply = services_.membership_->ownState();
 }
 
 auto PeerHandler::fetchBundle(peer::ConfigurationBundle &reply, std::int64_t revision) -> void
 {
+    const auto scope = ProcessorTimeMeter::Scope(*services_.controlTime_);
     reply = services_.follower_->bundleFor(revision);
 }
 
--- a/libraries/process/peerhandler.h
+++ b/libraries/process/peerhandler.h
@@ -4,6 +4,7 @@
 #include "generated/Peer.h"
 #include "process/configurationfollower.h"
 #include "process/membership.h"
+#include "process/processortime.h"
 #include "process/requesthandler.h"
 #include "process/sharekeeper.h"
 
@@ -17,6 +18,8 @@
     ConfigurationFollower *follower_ = nullptr;
     ShareKeeper *shares_ = nullptr;
     RequestHandler *requests_ = nullptr;
+    /** Measures exchanges and configuration fetches, which are control and not requests. */
+    ProcessorTimeMeter *controlTime_ = nullptr;
 };
 
 /** Answers peers' calls. Thread-safe. */
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -450,8 +450,12 @@
 
 auto RequestHandler::State::log(const RequestState &state, const Answer &answer, const Refusal *refusal) const -> void
 {
-    const auto elapsed = absl::ToInt64Microseconds(monotonicNow() - state.receivedAt_);
+    const auto duration = monotonicNow() - state.receivedAt_;
+    const auto elapsed = absl::ToInt64Microseconds(duration);
     const auto &dispatched = state.dispatched_;
+    if (services_.observe_) {
+        services_.observe_(RequestObservation { state.organisation_, refusal != nullptr ? std::string(describeRefusal(*refusal).name_) : "", duration });
+    }
     logLine(wallNow(),
             logLevelOf(refusal),
             "request",
--- a/libraries/process/requesthandler.h
+++ b/libraries/process/requesthandler.h
@@ -6,12 +6,14 @@
 #include "generated/peer_types.h"
 #include "process/currentconfiguration.h"
 #include "process/knowledge.h"
+#include "process/requestobservation.h"
 #include "process/sharekeeper.h"
 #include "request/refusal.h"
 
 #include <httplib.h>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -34,6 +36,8 @@
     ShareKeeper *shares_ = nullptr;
     PeerClients *peers_ = nullptr;
     StoreClient *store_ = nullptr;
+    /** Takes what became of each request; empty when nothing does. */
+    std::function<void(const RequestObservation &)> observe_ = nullptr;
 };
 
 /** Handles requests. Thread-safe. */
--- /dev/null
+++ b/libraries/process/requestobservation.h
@@ -0,0 +1,22 @@
+/** What became of one request, for metrics. */
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <string>
+
+namespace lycheecleat
+{
+
+/** What became of one request. */
+struct RequestObservation
+{
+    /** Empty when it is not known. */
+    std::string organisation_;
+    /** Empty when the request was not refused. */
+    std::string refusalReason_;
+    /** From the whole request to the whole answer. */
+    absl::Duration duration_;
+};
+
+}
