--- a/tests/integration/wholepathtest.cpp
+++ b/tests/integration/wholepathtest.cpp
@@ -6,6 +6,8 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,8 +82,8 @@
     lookupRequest.path_ = lookupPath;
     const auto lookup = caller.send(deployment.hosts().front().address_, lookupRequest);
     REQUIRE(lookup.status_ == 200);
-    const auto token = nlohmann::json::parse(lookup.body_).at("run_token").get<std::string>();
-    for (const auto &idempotencyKey : std::vector<std::string> { "claimed-in-the-store", token + ":booking" }) {
+    const auto prefix = nlohmann::json::parse(lookup.body_).at("idempotency_key_prefix").get<std::string>();
+    for (const auto &idempotencyKey : std::vector<std::string> { "claimed-in-the-store", prefix + "booking" }) {
         CAPTURE(idempotencyKey);
         auto request = CallerRequest {};
         request.method_ = "POST";
@@ -120,7 +122,7 @@
         const auto answer = caller.send(host.address_, request);
         // Once the listener is closed, a new connection is refused; whatever was accepted is answered.
         CHECK((answer.status_ == 200 || answer.error_.find("Connection") != std::string::npos));
-        exitCode = host.process_->waitForExit(std::chrono::milliseconds(0));
+        exitCode = host.process_->waitForExit(std::chrono::milliseconds(20));
     }
     CAPTURE(host.process_->errorOutput());
     REQUIRE(exitCode.has_value());
