Return borrowed slots early; check again what allows a request just before it is sent

Early return: a slot that a borrower no longer needed was missing to its owner until the loan ended. A borrower now gives back slots that it has not taken for 40 ms. It takes them out of its table first, and names the loan and what it keeps of it, which only becomes less, so a lost, repeated or late return frees nothing twice. Loan names start at a random value in each run.

Check before sending: a thread that waited for a token, a slot or a claim sent its request on knowledge and a grant that may have become too old meanwhile. Both are now checked just before each attempt.

--- a/bench/policyexperiment.cpp
+++ b/bench/policyexperiment.cpp
@@ -114,6 +114,15 @@
             const auto to = reach(host, lender);
             return to < 0 ? std::optional<peer::SlotLoan> {} : keepers_[static_cast<std::size_t>(to)]->lendSlots(now_, hostName(host), revision, pool, count);
         };
+        lending.returnSlots_ = [this, host](const EntryHost &lender, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept) {
+            const auto latency = callTime_;
+            const auto to = reach(host, lender);
+            // A thread of its own makes these calls, so no request waits for them.
+            callTime_ = latency;
+            if (to >= 0) {
+                keepers_[static_cast<std::size_t>(to)]->takeBackSlots(now_, pool, loan, kept);
+            }
+        };
         return lending;
     }
 
@@ -390,6 +399,8 @@
 constexpr auto reportInterval = 0.5;
 constexpr auto longestWait = 0.5;
 constexpr auto retryInterval = 0.005;
+/** As in the daemon. */
+constexpr auto returnInterval = 0.02;
 
 struct PoolSize
 {
@@ -457,6 +468,11 @@
                 reported_ = running_;
             });
         }
+        for (auto at = 0.0; at < choiceRunSeconds; at += returnInterval) {
+            push(at, [this]() {
+                returnIdle();
+            });
+        }
         while (!events_.empty()) {
             const auto event = events_.top();
             events_.pop();
@@ -539,6 +555,16 @@
         start(arrivedAt, now_, host, pickUncoordinated(host), []() {});
     }
 
+    auto returnIdle() -> void
+    {
+        fleet_->now_ = begin_ + absl::Seconds(now_);
+        if (choice_ == Choice::SlotShares) {
+            for (auto &keeper : fleet_->keepers_) {
+                keeper->returnIdleSlots(fleet_->now_);
+            }
+        }
+    }
+
     auto trySlot(double arrivedAt, int host) -> void
     {
         fleet_->now_ = begin_ + absl::Seconds(now_);
--- a/libraries/connection/peerclients.cpp
+++ b/libraries/connection/peerclients.cpp
@@ -237,6 +237,19 @@
     });
 }
 
+auto PeerClients::returnSlots(const std::string &address,
+                              const std::string &borrower,
+                              const std::string &pool,
+                              std::int64_t loan,
+                              const std::map<std::string, int> &kept,
+                              absl::Duration timeout) -> Result<bool>
+{
+    return connections_->run<bool>("return_slots", "return slots to peer", address, timeout, [&](peer::PeerClient &client, bool &reply) {
+        client.returnSlots(borrower, pool, loan, kept);
+        reply = true;
+    });
+}
+
 auto PeerClients::forward(const std::string &address, const peer::ForwardedRequest &request, absl::Duration timeout) -> Result<peer::ForwardedAnswer>
 {
     const auto call = [&](peer::PeerClient &client, peer::ForwardedAnswer &reply) {
--- a/libraries/connection/peerclients.h
+++ b/libraries/connection/peerclients.h
@@ -49,6 +49,13 @@
     [[nodiscard]] auto
     borrowSlots(const std::string &address, const std::string &borrower, std::int64_t revision, const std::string &pool, int count, absl::Duration timeout)
         -> Result<peer::SlotLoan>;
+    /** Tells a lender what is kept of a loan of slots. */
+    [[nodiscard]] auto returnSlots(const std::string &address,
+                                   const std::string &borrower,
+                                   const std::string &pool,
+                                   std::int64_t loan,
+                                   const std::map<std::string, int> &kept,
+                                   absl::Duration timeout) -> Result<bool>;
     [[nodiscard]] auto forward(const std::string &address, const peer::ForwardedRequest &request, absl::Duration timeout) -> Result<peer::ForwardedAnswer>;
 
     /** Calls and bytes so far. */
--- a/libraries/peer.thrift
+++ b/libraries/peer.thrift
@@ -56,6 +56,8 @@
 /** Slots lent, by backend server name. */
 struct SlotLoan {
     1: map<string, i32> slots;
+    /** Names the loan in a return; no other loan of any run of the lender has it. */
+    2: i64 loan;
 }
 
 /** One HTTP header. */
@@ -85,5 +87,10 @@
     ConfigurationBundle fetchBundle(1: i64 revision);
     RateLoan borrowRate(1: string borrower, 2: i64 revision, 3: string limit, 4: double rate, 5: double burst);
     SlotLoan borrowSlots(1: string borrower, 2: i64 revision, 3: string pool, 4: i32 count);
+    /**
+     * Gives slots of a loan back before its end. The slots are those that the borrower keeps, which only become fewer, so that a return that is
+     * repeated, late or out of order frees nothing twice. A backend server that is not named is kept in full.
+     */
+    void returnSlots(1: string borrower, 2: string pool, 3: i64 loan, 4: map<string, i32> kept);
     ForwardedAnswer forward(1: ForwardedRequest request);
 }
--- a/libraries/process/daemon.cpp
+++ b/libraries/process/daemon.cpp
@@ -24,6 +24,9 @@
 /** How long a starting host waits for a newer revision that a peer holds. */
 constexpr auto newerRevisionTimeout = absl::Seconds(5);
 
+/** Time between two looks for borrowed slots to give back; half the time that they stay idle before. */
+constexpr auto returnInterval = absl::Milliseconds(20);
+
 constexpr auto startPollInterval = absl::Milliseconds(10);
 
 /** Time until every peer that answers has heard that this host is leaving. */
@@ -152,6 +155,9 @@
     opener_ = std::thread([this] {
         openWhenReady();
     });
+    returner_ = std::thread([this] {
+        returnIdleSlots();
+    });
     return {};
 }
 
@@ -166,6 +172,10 @@
     if (ready_) {
         leave();
     }
+    stopped_ = true;
+    if (returner_.joinable()) {
+        returner_.join();
+    }
     administration_.stop();
     follower_.stop();
     membership_.stop();
@@ -276,7 +286,8 @@
 auto Daemon::prepare(const ConfigurationPointer &next) -> void
 {
     const auto now = monotonicNow();
-    shares_.configure(now, next);
+    // The age of the knowledge that this revision replaces: it is refreshed only once the revision is in force.
+    shares_.configure(now, next, knowledge_.ageAt(now));
     lookups_.configure(next);
     membership_.setHosts(now, next->entryHosts_);
     const auto *self = findByName(next->entryHosts_, settings_.settings_.name_);
@@ -289,6 +300,14 @@
     }
 }
 
+auto Daemon::returnIdleSlots() -> void
+{
+    while (!stopped_) {
+        shares_.returnIdleSlots(monotonicNow());
+        absl::SleepFor(returnInterval);
+    }
+}
+
 auto Daemon::openWhenReady() -> void
 {
     auto firstAt = absl::InfiniteFuture();
--- a/libraries/process/daemon.h
+++ b/libraries/process/daemon.h
@@ -80,6 +80,7 @@
     auto ownState() const -> peer::HostState;
     auto heard(const PeerNews &news) -> void;
     auto prepare(const ConfigurationPointer &next) -> void;
+    auto returnIdleSlots() -> void;
     auto openWhenReady() -> void;
     auto administrationServices() -> AdministrationServices;
     auto startFacts(absl::Time firstAt) const -> StartFacts;
@@ -95,6 +96,8 @@
     std::atomic<bool> ready_ = false;
     std::atomic<bool> failed_ = false;
     std::atomic<bool> stopping_ = false;
+    /** No request is in flight any more. */
+    std::atomic<bool> stopped_ = false;
     CurrentConfiguration configuration_;
     Knowledge knowledge_;
     PeerClients peers_;
@@ -108,6 +111,7 @@
     CallerServer callers_;
     Administration administration_;
     std::thread opener_;
+    std::thread returner_;
 };
 
 }
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -128,7 +128,7 @@
             }
             return std::move(run.result_);
         }
-        if (isStopped(run, *grant) || isSettled(run, send(run, *grant))) {
+        if (isStopped(run, *grant) || isOverdue(run, *grant) || isSettled(run, send(run, *grant))) {
             return std::move(run.result_);
         }
     }
@@ -249,6 +249,23 @@
     return true;
 }
 
+// Whether the request must not be sent any more. The slot is given back, and the result of an earlier attempt stands.
+auto Dispatcher::isOverdue(Run &run, const SlotGrant &grant) -> bool
+{
+    auto refusal = run.request_.recheck_ ? run.request_.recheck_() : std::nullopt;
+    if (!refusal && monotonicNow() >= grant.deadline_) {
+        refusal = Refusal::NoCapacity;
+    }
+    if (!refusal) {
+        return false;
+    }
+    shares_->returnSlot(monotonicNow(), grant, true);
+    if (!run.isSent_) {
+        run.result_.refusal_ = refusal;
+    }
+    return true;
+}
+
 auto Dispatcher::send(Run &run, const SlotGrant &grant) -> BackendExchange
 {
     const auto &backend = grant.backend_;
--- a/libraries/process/dispatcher.h
+++ b/libraries/process/dispatcher.h
@@ -41,6 +41,8 @@
     bool repeatable_ = false;
     /** Called once, when a slot is held and before anything is sent. What it returns ends the request, which is then not sent. */
     std::function<std::optional<Served>()> beforeSend_;
+    /** Called just before each attempt. The waits for tokens and slots may have taken long, so what allowed the request may no longer hold. */
+    std::function<std::optional<Refusal>()> recheck_;
 };
 
 /** What became of a request, with the values that its log line shows. */
@@ -97,6 +99,7 @@
         -> std::optional<SlotGrant>;
     [[nodiscard]] auto exclusionsOf(Run &run) const -> std::vector<std::string>;
     [[nodiscard]] auto isStopped(Run &run, const SlotGrant &grant) -> bool;
+    [[nodiscard]] auto isOverdue(Run &run, const SlotGrant &grant) -> bool;
     [[nodiscard]] auto send(Run &run, const SlotGrant &grant) -> BackendExchange;
     auto note(const Run &run, const SlotGrant &grant, const BackendExchange &exchange) -> void;
     [[nodiscard]] auto isSettled(Run &run, BackendExchange exchange) -> bool;
--- a/libraries/process/peerhandler.cpp
+++ b/libraries/process/peerhandler.cpp
@@ -34,6 +34,12 @@
     reply = services_.shares_->lendSlots(monotonicNow(), borrower, revision, pool, count);
 }
 
+auto PeerHandler::returnSlots(const std::string &borrower, const std::string &pool, std::int64_t loan, const std::map<std::string, std::int32_t> &kept) -> void
+{
+    (void)borrower;
+    services_.shares_->takeBackSlots(monotonicNow(), pool, loan, kept);
+}
+
 auto PeerHandler::forward(peer::ForwardedAnswer &reply, const peer::ForwardedRequest &request) -> void
 {
     reply = services_.requests_->handleForwarded(request);
--- a/libraries/process/peerhandler.h
+++ b/libraries/process/peerhandler.h
@@ -33,6 +33,7 @@
     auto borrowRate(peer::RateLoan &reply, const std::string &borrower, std::int64_t revision, const std::string &limit, double rate, double burst)
         -> void override;
     auto borrowSlots(peer::SlotLoan &reply, const std::string &borrower, std::int64_t revision, const std::string &pool, std::int32_t count) -> void override;
+    auto returnSlots(const std::string &borrower, const std::string &pool, std::int64_t loan, const std::map<std::string, std::int32_t> &kept) -> void override;
     auto forward(peer::ForwardedAnswer &reply, const peer::ForwardedRequest &request) -> void override;
 
 private:
--- a/libraries/process/peerlending.h
+++ b/libraries/process/peerlending.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -25,6 +26,8 @@
         borrowRate_;
     std::function<std::optional<peer::SlotLoan>(const EntryHost &lender, std::int64_t revision, const std::string &pool, int count, absl::Duration timeout)>
         borrowSlots_;
+    /** Tells a lender what is kept of a loan; a lost return costs only capacity. Without it, loans are kept until their end. */
+    std::function<void(const EntryHost &lender, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept)> returnSlots_ = {};
 };
 
 /** Longest time that one round of borrow calls may take. A round trip between the most distant regions fits once. */
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -194,6 +194,7 @@
     auto serve(RequestState &state) -> Served;
     auto findRouteOf(RequestState &state) const -> std::optional<Refusal>;
     auto identify(RequestState &state) -> std::optional<Refusal>;
+    auto checkKnowledge(RequestState &state) -> std::optional<Refusal>;
     auto organisationOf(RequestState &state, const std::string &key) -> std::optional<Refusal>;
     auto serveOnce(RequestState &state) -> Served;
     auto serveTokened(RequestState &state, const IdempotencyKey &key) -> Served;
@@ -274,12 +275,21 @@
     if (credentials.keys_.empty()) {
         return Refusal::KeyMissing;
     }
-    // The process may have been paused since the request came, so the time of receipt would make old knowledge look fresh.
+    const auto unknowing = checkKnowledge(state);
+    return unknowing ? unknowing : organisationOf(state, credentials.keys_.front());
+}
+
+// The process may have been paused since the request came, so the time of receipt would make old knowledge look fresh.
+auto RequestHandler::State::checkKnowledge(RequestState &state) -> std::optional<Refusal>
+{
+    if (state.route_->access_ == Access::Open) {
+        return std::nullopt;
+    }
     state.knowledge_ = services_.knowledge_->stateAt(monotonicNow(), *state.configuration_);
     if (state.knowledge_ == KnowledgeState::Isolated && state.route_->isolation_ == Isolation::Refuse) {
         return Refusal::KnowledgeStale;
     }
-    return organisationOf(state, credentials.keys_.front());
+    return std::nullopt;
 }
 
 auto RequestHandler::State::organisationOf(RequestState &state, const std::string &key) -> std::optional<Refusal>
@@ -440,7 +450,17 @@
         return Refusal::RateExceeded;
     }
     const auto request = DispatchRequest {
-        state.configuration_, state.route_, state.requestId_, state.organisation_, state.content_, state.deadline_, state.repeatable_, std::move(beforeSend),
+        state.configuration_,
+        state.route_,
+        state.requestId_,
+        state.organisation_,
+        state.content_,
+        state.deadline_,
+        state.repeatable_,
+        std::move(beforeSend),
+        [this, &state] {
+            return checkKnowledge(state);
+        },
     };
     state.dispatched_ = dispatcher_.dispatch(request);
     if (state.dispatched_.answer_) {
--- a/libraries/process/requesthandlertest.cpp
+++ b/libraries/process/requesthandlertest.cpp
@@ -339,6 +339,34 @@
     CHECK(isolated.handle("GET", "/serve", withKey()).status == 200);
 }
 
+// Guards against a request that is sent although its host became isolated while the request waited for a slot.
+TEST_CASE("knowledge is checked again after the wait for a slot")
+{
+    const auto servers = serversOf(1, [](const ScriptedRequest &) {
+        return ScriptedReply { okResponse, absl::Seconds(1), false };
+    });
+    auto configuration = configurationFor(servers);
+    configuration.platform_.freshness_ = absl::Milliseconds(500);
+    configuration.pools_.front().slots_ = 1;
+    for (auto &route : configuration.routes_) {
+        route.deadline_ = absl::Seconds(4);
+    }
+    auto host = Host(configuration);
+    auto first = std::thread([&] {
+        CHECK(host.handle("GET", "/read", withKey()).status == 200);
+    });
+    while (requestCountOf(servers) == 0) {
+        std::this_thread::yield();
+    }
+    host.knowledge_.storeAnswered(monotonicNow());
+    const auto waiting = host.handle("GET", "/read", withKey());
+    first.join();
+    CHECK(waiting.status == 503);
+    CHECK(waiting.get_header_value("X-Request-Outcome") == "not-run");
+    CHECK(waiting.get_header_value("X-Refusal-Reason") == "knowledge_stale");
+    CHECK(requestCountOf(servers) == 1);
+}
+
 // Guards against an organisation that exceeds its rate, and against a refusal without the time to retry.
 TEST_CASE("requests beyond the organisation's rate are refused")
 {
--- a/libraries/process/shareinvarianttest.cpp
+++ b/libraries/process/shareinvarianttest.cpp
@@ -56,6 +56,8 @@
     double largestRate_ = 0;
     int granted_ = 0;
     int largestUse_ = 0;
+    /** Returns of slots that reached a lender. */
+    int returns_ = 0;
 };
 
 struct SimulatedHost
@@ -97,6 +99,7 @@
             scheduleArrival(*host);
             scheduleSlotArrival(*host);
             scheduleSync(*host);
+            scheduleReturns(*host);
         }
         scheduleFault();
     }
@@ -316,6 +319,9 @@
                 return host.keeper_->lendSlots(localTime(host), borrower.name_, revision, pool, count);
             });
         };
+        lending.returnSlots_ = [this, &borrower](const EntryHost &lender, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept) {
+            sendReturn(borrower, lender.name_, pool, loan, kept);
+        };
         return lending;
     }
 
@@ -428,6 +434,30 @@
         });
     }
 
+    auto scheduleReturns(SimulatedHost &host) -> void
+    {
+        after(absl::Milliseconds(uniform(20, 60)), [this, &host]() {
+            scheduleReturns(host);
+            if (isRunning(host)) {
+                host.keeper_->returnIdleSlots(localTime(host));
+            }
+        });
+    }
+
+    /** A return is lost, repeated, overtaken, or later than the end of its loan. */
+    auto sendReturn(SimulatedHost &borrower, const std::string &lenderName, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept)
+        -> void
+    {
+        const auto copies = chance(0.2) ? 0 : (chance(0.3) ? 3 : 1);
+        for (auto copy = 0; copy < copies; ++copy) {
+            const auto delay = chance(0.2) ? absl::Milliseconds(uniform(0, 8000)) : messageDelay();
+            deliver(borrower, hostNamed(lenderName), delay, [this, pool, loan, kept](SimulatedHost &lender) {
+                ++outcome_.returns_;
+                lender.keeper_->takeBackSlots(localTime(lender), pool, loan, kept);
+            });
+        }
+    }
+
     auto scheduleSync(SimulatedHost &host) -> void
     {
         after(absl::Milliseconds(uniform(100, 500)), [this, &host]() {
@@ -515,6 +545,7 @@
 {
     auto admitted = 0;
     auto granted = 0;
+    auto returns = 0;
     for (auto seed = std::uint64_t { 1 }; seed <= 12; ++seed) {
         CAPTURE(seed);
         auto simulation = Simulation(seed);
@@ -525,10 +556,13 @@
         CHECK(outcome.largestUse_ <= slotsPerBackend);
         admitted += outcome.admitted_;
         granted += outcome.granted_;
+        returns += outcome.returns_;
         MESSAGE("seed " << seed << " offered " << outcome.offered_ << " admitted " << outcome.admitted_ << " burst " << outcome.largestBurst_ << " held "
-                        << outcome.largestHeld_ << " rate " << outcome.largestRate_ << " granted " << outcome.granted_ << " use " << outcome.largestUse_);
+                        << outcome.largestHeld_ << " rate " << outcome.largestRate_ << " granted " << outcome.granted_ << " use " << outcome.largestUse_
+                        << " returns " << outcome.returns_);
     }
     // The bounds would hold trivially if little were admitted.
     CHECK(admitted > 12 * 1000);
     CHECK(granted > 12 * 300);
+    CHECK(returns > 12 * 30);
 }
--- a/libraries/process/sharekeeper.cpp
+++ b/libraries/process/sharekeeper.cpp
@@ -50,12 +50,24 @@
 {
     (void)borrower;
     auto loan = peer::SlotLoan {};
-    for (const auto &[backend, slots] : slots_.lendSlots(now, revision, pool, count)) {
+    const auto lent = slots_.lendSlots(now, revision, pool, count);
+    loan.loan = lent.loan_;
+    for (const auto &[backend, slots] : lent.slots_) {
         loan.slots[backend] = slots;
     }
     return loan;
 }
 
+auto ShareKeeper::returnIdleSlots(absl::Time now) -> void
+{
+    slots_.returnIdle(now);
+}
+
+auto ShareKeeper::takeBackSlots(absl::Time now, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept) -> void
+{
+    slots_.takeBack(now, pool, loan, kept);
+}
+
 auto ShareKeeper::bucketOf(const std::string &limit) const -> ShareBucket
 {
     return rates_.bucketOf(limit);
--- a/libraries/process/sharekeeper.h
+++ b/libraries/process/sharekeeper.h
@@ -11,6 +11,7 @@
 
 #include <absl/time/time.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +60,12 @@
     /** Answers a peer that asks for slots of a pool. */
     [[nodiscard]] auto lendSlots(absl::Time now, const std::string &borrower, std::int64_t revision, const std::string &pool, int count) -> peer::SlotLoan;
 
+    /** Gives borrowed slots that are no longer needed back early. Calls peers; a thread of the host runs it every few milliseconds. */
+    auto returnIdleSlots(absl::Time now) -> void;
+
+    /** Takes what a borrower no longer keeps of a loan of slots. */
+    auto takeBackSlots(absl::Time now, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept) -> void;
+
     /** A copy of a limit's bucket, for status answers and tests. */
     [[nodiscard]] auto bucketOf(const std::string &limit) const -> ShareBucket;
 
--- a/libraries/process/sharekeeperpeers.cpp
+++ b/libraries/process/sharekeeperpeers.cpp
@@ -2,6 +2,7 @@
 #include "process/sharekeeper.h"
 
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace lycheecleat
@@ -10,6 +11,9 @@
 namespace
 {
 
+/** Longest time of a return call. A host that does not answer holds up the returns to others for no longer. */
+constexpr auto returnTimeout = absl::Milliseconds(250);
+
 /** Gives the value of a call, or nothing when it failed. The caller only needs to know that there is no loan. */
 template<typename Value, typename Call>
 auto valueOf(Call &&call) -> std::optional<Value>
@@ -38,6 +42,11 @@
             return peers->borrowSlots(lender.peer_, hostName, revision, pool, count, timeout);
         });
     };
+    lending.returnSlots_ = [=](const EntryHost &lender, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept) {
+        std::ignore = valueOf<bool>([&]() {
+            return peers->returnSlots(lender.peer_, hostName, pool, loan, kept, returnTimeout);
+        });
+    };
     return lending;
 }
 
--- a/libraries/process/slotkeeper.cpp
+++ b/libraries/process/slotkeeper.cpp
@@ -46,6 +46,12 @@
  */
 constexpr auto shortageBeforeBorrow = absl::Milliseconds(20);
 
+/** How long a borrowed slot stays unused before it is given back. Twice the wait before a borrow, so that slots do not go to and fro. */
+constexpr auto idleBeforeReturn = absl::Milliseconds(40);
+
+/** Random loan names start below this, which leaves enough names for any run. */
+constexpr auto loanNameRange = std::int64_t { 1 } << 62;
+
 /** Longest sleep of a waiting request. Slots that a loan's or a deadline's end frees wake nobody, so it looks again. */
 constexpr auto longestSleep = absl::Milliseconds(20);
 
@@ -74,6 +80,7 @@
     : hostName_(std::move(hostName))
     , seed_(stableHash(hostName_))
     , lending_(std::move(lending))
+    , lastLoan_(static_cast<std::int64_t>(stableHash(randomHex(sizeof(std::int64_t))) % loanNameRange))
 {
 }
 
@@ -395,7 +402,7 @@
     for (const auto &[name, count] : loan->slots) {
         const auto backend = slots.backends_.find(name);
         if (backend != slots.backends_.end() && count > 0) {
-            borrow(backend->second.share_, now, count, sentAt + round.loan_);
+            borrow(backend->second.share_, now, count, sentAt + round.loan_, lender.host_.name_, loan->loan);
             isLent = true;
         }
     }
@@ -421,7 +428,7 @@
     dispatch(*slots, time);
 }
 
-auto SlotKeeper::lendSlots(absl::Time now, std::int64_t revision, const std::string &pool, int count) -> std::map<std::string, int>
+auto SlotKeeper::lendSlots(absl::Time now, std::int64_t revision, const std::string &pool, int count) -> LentSlots
 {
     auto *slots = find(pool);
     if (slots == nullptr) {
@@ -453,10 +460,77 @@
         --most->second;
         ++lent[most->first];
     }
+    const auto loan = lent.empty() ? 0 : ++lastLoan_;
     for (const auto &[name, slotCount] : lent) {
-        std::ignore = lend(slots->backends_.at(name).share_, time, slotCount, time + withMargin(slots->loan_));
+        std::ignore = lend(slots->backends_.at(name).share_, time, slotCount, time + withMargin(slots->loan_), loan);
+    }
+    return { std::move(lent), loan };
+}
+
+auto SlotKeeper::planReturns(PoolSlots &slots, absl::Time now) const -> std::vector<Return>
+{
+    slots.mutex_.AssertHeld();
+    if (!slots.waiters_.empty()) {
+        return {};
+    }
+    auto byLoan = std::map<std::pair<std::string, std::int64_t>, std::map<std::string, int>> {};
+    for (auto &[name, backend] : slots.backends_) {
+        for (const auto &kept : releaseIdle(backend.share_, now, idleBeforeReturn)) {
+            byLoan[{ kept.lender_, kept.name_ }][name] = kept.slots_;
+        }
+    }
+    auto returns = std::vector<Return> {};
+    for (auto &[loan, kept] : byLoan) {
+        for (const auto &candidate : slots.lenders_) {
+            if (candidate.lender_.host_.name_ == loan.first) {
+                returns.push_back({ candidate.lender_.host_, loan.second, std::move(kept) });
+                break;
+            }
+        }
+    }
+    return returns;
+}
+
+auto SlotKeeper::returnIdle(absl::Time now) -> void
+{
+    if (!lending_.returnSlots_) {
+        return;
     }
-    return lent;
+    auto pools = std::vector<std::pair<std::string, PoolSlots *>> {};
+    {
+        const auto lock = absl::ReaderMutexLock(&mutex_);
+        for (const auto &[name, slots] : pools_) {
+            pools.emplace_back(name, slots.get());
+        }
+    }
+    for (const auto &[name, slots] : pools) {
+        auto returns = std::vector<Return> {};
+        {
+            const auto lock = absl::MutexLock(&slots->mutex_);
+            returns = planReturns(*slots, latest(now));
+        }
+        // The slots are out of this host's table before the lender hears of them.
+        for (const auto &entry : returns) {
+            lending_.returnSlots_(entry.lender_, name, entry.loan_, entry.kept_);
+        }
+    }
+}
+
+auto SlotKeeper::takeBack(absl::Time now, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept) -> void
+{
+    auto *slots = find(pool);
+    if (slots == nullptr) {
+        return;
+    }
+    const auto lock = absl::MutexLock(&slots->mutex_);
+    const auto time = latest(now);
+    for (const auto &[name, count] : kept) {
+        const auto backend = slots->backends_.find(name);
+        if (backend != slots->backends_.end()) {
+            reduceLoan(backend->second.share_, time, loan, count);
+        }
+    }
+    dispatch(*slots, time);
 }
 
 auto SlotKeeper::slotsOf(const std::string &pool, const std::string &backend) const -> SlotShare
--- a/libraries/process/slotkeeper.h
+++ b/libraries/process/slotkeeper.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,13 @@
 namespace lycheecleat
 {
 
+/** Slots lent, by backend server name, and the name of the loan. */
+struct LentSlots
+{
+    std::map<std::string, int> slots_;
+    std::int64_t loan_ = 0;
+};
+
 /** Keeps the slots of each pool under the pool's own lock. Thread-safe. Calls no peer while it holds a lock. */
 class SlotKeeper
 {
@@ -36,7 +44,13 @@
     auto returnSlot(absl::Time now, const SlotGrant &grant, bool certainlyEnded) -> void;
 
     /** Lends free slots, by backend server name, to a peer that has the same revision. */
-    [[nodiscard]] auto lendSlots(absl::Time now, std::int64_t revision, const std::string &pool, int count) -> std::map<std::string, int>;
+    [[nodiscard]] auto lendSlots(absl::Time now, std::int64_t revision, const std::string &pool, int count) -> LentSlots;
+
+    /** Gives borrowed slots that are no longer needed back to their lenders, after it has stopped using them. Calls peers. */
+    auto returnIdle(absl::Time now) -> void;
+
+    /** Takes back what a borrower no longer keeps of a loan. */
+    auto takeBack(absl::Time now, const std::string &pool, std::int64_t loan, const std::map<std::string, int> &kept) -> void;
 
     /** A copy of the slots of one backend server, for status answers and tests. */
     [[nodiscard]] auto slotsOf(const std::string &pool, const std::string &backend) const -> SlotShare;
@@ -135,12 +149,23 @@
     [[nodiscard]] auto tryGrant(PoolSlots &slots, absl::Time now, std::uint64_t id, const SlotRequest &request, absl::Time deadline) const
         -> std::optional<SlotGrant>;
     [[nodiscard]] auto planRound(PoolSlots &slots, absl::Time now, const SlotRequest &request) const -> Round;
+    /** One return call, decided under the lock and run without it. */
+    struct Return
+    {
+        EntryHost lender_;
+        std::int64_t loan_ = 0;
+        std::map<std::string, int> kept_;
+    };
+
+    [[nodiscard]] auto planReturns(PoolSlots &slots, absl::Time now) const -> std::vector<Return>;
     auto runRound(PoolSlots &slots, const std::string &pool, const Round &round, const Waiter &waiter) const -> void;
     auto acceptLoan(PoolSlots &slots, const Round &round, const Lender &lender, absl::Time sentAt, const std::optional<peer::SlotLoan> &loan) const -> bool;
 
     const std::string hostName_;
     const std::uint64_t seed_;
     const PeerLending lending_;
+    /** Name of the last loan given. It starts at a random value, so that a return to an earlier run of this host names no loan of this one. */
+    std::atomic<std::int64_t> lastLoan_;
     mutable absl::Mutex mutex_;
     absl::flat_hash_map<std::string, std::unique_ptr<PoolSlots>> pools_ ABSL_GUARDED_BY(mutex_);
     /** Settings of the configuration in force; a growth outwaits the larger of the old and the new. */
--- a/libraries/request/slotshare.cpp
+++ b/libraries/request/slotshare.cpp
@@ -82,8 +82,9 @@
     advance(share, now);
     // The backend server measures the time that is left from when the request reaches it, on its own clock.
     const auto freeAt = deadline + waitMargin(deadline - now);
-    for (const auto &loan : share.taken_) {
+    for (auto &loan : share.taken_) {
         if (loan.until_ >= deadline && usedOf(share, loan.id_) < loan.slots_) {
+            loan.usedAt_ = now;
             share.uses_.push_back({ grant, loan.id_, freeAt, false });
             return true;
         }
@@ -110,21 +111,45 @@
     advance(share, now);
 }
 
-auto lend(SlotShare &share, absl::Time now, int wanted, absl::Time until) -> int
+auto lend(SlotShare &share, absl::Time now, int wanted, absl::Time until, std::int64_t name) -> int
 {
     advance(share, now);
     const auto slots = std::max(0, std::min(wanted, freeOwn(share)));
     if (slots > 0) {
-        share.given_.push_back({ slots, until, ++share.lastLoan_ });
+        share.given_.push_back({ slots, until, ++share.lastLoan_, {}, name, now });
     }
     return slots;
 }
 
-auto borrow(SlotShare &share, absl::Time now, int slots, absl::Time until) -> void
+auto borrow(SlotShare &share, absl::Time now, int slots, absl::Time until, const std::string &lender, std::int64_t name) -> void
 {
     advance(share, now);
     if (until > now && slots > 0) {
-        share.taken_.push_back({ slots, until, ++share.lastLoan_ });
+        share.taken_.push_back({ slots, until, ++share.lastLoan_, lender, name, now });
+    }
+}
+
+auto releaseIdle(SlotShare &share, absl::Time now, absl::Duration idle) -> std::vector<KeptSlots>
+{
+    advance(share, now);
+    auto kept = std::vector<KeptSlots> {};
+    for (auto &loan : share.taken_) {
+        const auto used = usedOf(share, loan.id_);
+        if (loan.name_ != 0 && used < loan.slots_ && now - loan.usedAt_ >= idle) {
+            loan.slots_ = used;
+            kept.push_back({ loan.lender_, loan.name_, used });
+        }
+    }
+    return kept;
+}
+
+auto reduceLoan(SlotShare &share, absl::Time now, std::int64_t name, int kept) -> void
+{
+    advance(share, now);
+    for (auto &loan : share.given_) {
+        if (loan.name_ == name) {
+            loan.slots_ = std::min(loan.slots_, std::max(0, kept));
+        }
     }
 }
 
--- a/libraries/request/slotshare.h
+++ b/libraries/request/slotshare.h
@@ -4,6 +4,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace lycheecleat
@@ -16,6 +17,12 @@
     absl::Time until_;
     /** Distinguishes the loans of one share. */
     std::uint64_t id_ = 0;
+    /** The peer that lent, for a loan taken. */
+    std::string lender_;
+    /** The lender's name for the loan. */
+    std::int64_t name_ = 0;
+    /** When a request last took a slot of a loan taken, or the loan came. */
+    absl::Time usedAt_;
 
     auto operator==(const SlotLoanPart &other) const -> bool = default;
 };
@@ -71,10 +78,26 @@
 auto giveBack(SlotShare &share, absl::Time now, std::uint64_t grant, bool certainlyEnded) -> void;
 
 /** Lends up to the wanted number of free own slots until a time; returns how many. */
-[[nodiscard]] auto lend(SlotShare &share, absl::Time now, int wanted, absl::Time until) -> int;
+[[nodiscard]] auto lend(SlotShare &share, absl::Time now, int wanted, absl::Time until, std::int64_t name = 0) -> int;
 
 /** Adds slots received now that may be used until the given time, which the borrower counts from when it sent its request. */
-auto borrow(SlotShare &share, absl::Time now, int slots, absl::Time until) -> void;
+auto borrow(SlotShare &share, absl::Time now, int slots, absl::Time until, const std::string &lender = {}, std::int64_t name = 0) -> void;
+
+/** What is kept of a loan taken. */
+struct KeptSlots
+{
+    std::string lender_;
+    std::int64_t name_ = 0;
+    int slots_ = 0;
+
+    auto operator==(const KeptSlots &other) const -> bool = default;
+};
+
+/** Stops using the free slots of loans taken that no request has taken a slot of for a time, and gives what is kept of these loans. */
+[[nodiscard]] auto releaseIdle(SlotShare &share, absl::Time now, absl::Duration idle) -> std::vector<KeptSlots>;
+
+/** Takes back what the borrower no longer keeps of a loan given. A loan that has ended, or of which less is kept already, stays as it is. */
+auto reduceLoan(SlotShare &share, absl::Time now, std::int64_t name, int kept) -> void;
 
 /** Drops the own slots, since they may have been given to another host and back in revisions that this host has missed. */
 auto dropOwn(SlotShare &share, absl::Time now) -> void;
