--- a/tests/integration/support/caller.cpp
+++ b/tests/integration/support/caller.cpp
@@ -67,9 +67,10 @@
 auto Caller::send(const std::string &entryHost, CallerRequest request) -> CallerAnswer
 {
     request.testId_ = request.testId_.empty() ? makeTestId() : request.testId_;
+    const auto startedAt = std::chrono::steady_clock::now();
     auto answer = sendOnce(entryHost, request);
     const auto lock = std::lock_guard(mutex_);
-    records_.push_back(CallRecord { entryHost, std::move(request), answer });
+    records_.push_back(CallRecord { entryHost, std::move(request), answer, startedAt });
     return answer;
 }
 
--- a/tests/integration/support/caller.h
+++ b/tests/integration/support/caller.h
@@ -52,6 +52,7 @@
     std::string entryHost_;
     CallerRequest request_;
     CallerAnswer answer_;
+    std::chrono::steady_clock::time_point startedAt_;
 };
 
 /** An identifier for X-Test-Id that no other call of this program uses. */
