--- a/libraries/process/administrationtest.cpp
+++ b/libraries/process/administrationtest.cpp
@@ -1,6 +1,7 @@
 #include "process/administration.h"
 
 #include "core/clock.h"
+#include "core/testaddress.h"
 
 #include <doctest/doctest.h>
 #include <httplib.h>
@@ -12,10 +13,14 @@
 namespace
 {
 
-constexpr auto adminIp = "127.0.8.1";
 constexpr auto adminPort = 19081;
 constexpr auto operatorKey = "operator-secret";
 
+auto adminIp() -> std::string
+{
+    return testIp(8, 1);
+}
+
 struct AuthorizationCase
 {
     std::string description_;
@@ -59,7 +64,7 @@
                                                return peer::HostState {};
                                            },
                                            [](const PeerNews &) {} })
-        , administration_(AdministrationServices { std::string(adminIp) + ":" + std::to_string(adminPort),
+        , administration_(AdministrationServices { adminIp() + ":" + std::to_string(adminPort),
                                                    operatorKey,
                                                    "a",
                                                    &configuration_,
@@ -85,7 +90,7 @@
     }
 
     PeerClients peers_;
-    StoreClient store_ { StoreSettings { "127.0.8.2:19082", absl::Milliseconds(100) } };
+    StoreClient store_ { StoreSettings { testIp(8, 2) + ":19082", absl::Milliseconds(100) } };
     CurrentConfiguration configuration_;
     Knowledge knowledge_;
     Membership membership_;
@@ -94,7 +99,7 @@
 
 auto makeClient() -> httplib::Client
 {
-    auto client = httplib::Client(adminIp, adminPort);
+    auto client = httplib::Client(adminIp(), adminPort);
     client.set_connection_timeout(2);
     client.set_read_timeout(5);
     client.set_default_headers({ { "Authorization", std::string("Bearer ") + operatorKey } });
@@ -174,7 +179,7 @@
 {
     auto served = Interface();
     auto client = makeClient();
-    auto stranger = httplib::Client(adminIp, adminPort);
+    auto stranger = httplib::Client(adminIp(), adminPort);
     CHECK(stranger.Get("/health")->status == 200);
     CHECK(stranger.Get("/metrics")->body == "metric 1\n");
     for (const auto *path : { "/v1/status", "/v1/explain?host=a&path=/", "/v1/withdrawals?key=key-1" }) {
--- a/libraries/process/configurationfollowerspreadtest.cpp
+++ b/libraries/process/configurationfollowerspreadtest.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/digest.h"
+#include "core/testaddress.h"
 #include "process/peerserver.h"
 
 #include <absl/time/clock.h>
@@ -94,7 +95,7 @@
 
 auto peerAddress(int index) -> std::string
 {
-    return fmt::format("127.0.7.{}:19071", index + 1);
+    return testIp(7, index + 1) + ":19071";
 }
 
 auto hostName(int index) -> std::string
@@ -112,7 +113,8 @@
     for (auto index = 0; index < 3; ++index) {
         files.push_back(
             { fmt::format("20-host-{}.yaml", index),
-              fmt::format("kind: entry-host\nname: {}\nzone: zone-a\naddress: 127.0.7.{}:19070\npeer: {}\n", hostName(index), index + 1, peerAddress(index)) });
+              fmt::format(
+                  "kind: entry-host\nname: {}\nzone: zone-a\naddress: {}:19070\npeer: {}\n", hostName(index), testIp(7, index + 1), peerAddress(index)) });
     }
     files.push_back({ "30-organisation.yaml", fmt::format("kind: organisation\nname: org\nrate: {}/s\nburst: 10\n", rate) });
     return files;
--- a/libraries/process/daemontest.cpp
+++ b/libraries/process/daemontest.cpp
@@ -1,6 +1,7 @@
 #include "process/daemon.h"
 
 #include "core/clock.h"
+#include "core/testaddress.h"
 #include "version/bundle.h"
 
 #include <absl/time/clock.h>
@@ -23,8 +24,7 @@
 constexpr auto callerPort = 19100;
 constexpr auto peerPort = 19101;
 constexpr auto adminPort = 19102;
-constexpr auto storeAddress = "127.0.10.100:19103";
-constexpr auto backendIp = "127.0.10.101";
+constexpr auto storePort = 19103;
 constexpr auto backendPort = 19104;
 
 /** Bound on everything that is to happen within seconds. */
@@ -32,7 +32,17 @@
 
 auto hostIp(int index) -> std::string
 {
-    return fmt::format("127.0.10.{}", index + 1);
+    return testIp(10, index + 1);
+}
+
+auto storeIp() -> std::string
+{
+    return testIp(10, 100);
+}
+
+auto backendIp() -> std::string
+{
+    return testIp(10, 101);
 }
 
 auto hostName(int index) -> std::string
@@ -56,7 +66,7 @@
                                       peerPort) });
     }
     files.push_back({ "50-pool.yaml",
-                      fmt::format("kind: pool\nname: pool\nslots: 4\nbackends:\n  - {{name: b1, zone: zone-a, address: {}:{}}}\n", backendIp, backendPort) });
+                      fmt::format("kind: pool\nname: pool\nslots: 4\nbackends:\n  - {{name: b1, zone: zone-a, address: {}:{}}}\n", backendIp(), backendPort) });
     files.push_back(
         { "60-route.yaml",
           "kind: route\nname: route\nhost: service.example\npath: /\npool: pool\naccess: open\nrepeatable: true\ndeadline: 10s\nbody_limit: 1KiB\n" });
@@ -137,7 +147,7 @@
     settings.listen_ = fmt::format("{}:{}", hostIp(index), callerPort);
     settings.peerListen_ = fmt::format("{}:{}", hostIp(index), peerPort);
     settings.adminListen_ = fmt::format("{}:{}", hostIp(index), adminPort);
-    settings.store_ = storeAddress;
+    settings.store_ = fmt::format("{}:{}", storeIp(), storePort);
     settings.lookupLifetime_ = absl::Seconds(1);
     return DaemonSettings { settings, secret, {} };
 }
@@ -213,10 +223,10 @@
 TEST_CASE("a stop finishes the requests in flight and tells the other hosts first")
 {
     const auto bundle = packBundle(makeRules(2), 1, {}).value();
-    auto store = StubServer("127.0.10.100", 19103, [&](httplib::Server &server) {
+    auto store = StubServer(storeIp(), storePort, [&](httplib::Server &server) {
         addStoreRoutes(server, bundle);
     });
-    auto backend = StubServer(backendIp, backendPort, addBackendRoutes);
+    auto backend = StubServer(backendIp(), backendPort, addBackendRoutes);
     auto first = std::make_unique<Daemon>(settingsOf(0));
     auto second = std::make_unique<Daemon>(settingsOf(1));
     REQUIRE(first->start());
--- a/libraries/process/membershiptest.cpp
+++ b/libraries/process/membershiptest.cpp
@@ -1,6 +1,7 @@
 #include "process/membership.h"
 
 #include "core/clock.h"
+#include "core/testaddress.h"
 #include "process/peerserver.h"
 
 #include <absl/time/clock.h>
@@ -15,11 +16,14 @@
 namespace
 {
 
-constexpr auto ownAddress = "127.0.6.1:19061";
+auto ownAddress() -> std::string
+{
+    return testIp(6, 1) + ":19061";
+}
 
 auto addressOf(int index) -> std::string
 {
-    return "127.0.6." + std::to_string(10 + index) + ":19062";
+    return testIp(6, 10 + index) + ":19062";
 }
 
 /** A peer that answers with its name, and waits first when it is frozen. */
@@ -132,7 +136,7 @@
                                                           news.push_back(heard);
                                                       } });
     const auto now = monotonicNow();
-    membership.setHosts(now, { EntryHost { "own", "zone", "", ownAddress }, EntryHost { "peer", "zone", "", addressOf(1) } });
+    membership.setHosts(now, { EntryHost { "own", "zone", "", ownAddress() }, EntryHost { "peer", "zone", "", addressOf(1) } });
     auto state = stateNamed("peer");
     state.run = "r1";
     state.peerAddress = "127.0.6.99:1";
--- a/libraries/process/requesthandlertest.cpp
+++ b/libraries/process/requesthandlertest.cpp
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/log.h"
+#include "core/testaddress.h"
 #include "process/peerhandler.h"
 #include "process/peerserver.h"
 #include "request/runtoken.h"
@@ -391,7 +392,7 @@
     const auto servers = serversOf(2, [](const ScriptedRequest &request) {
         return ScriptedReply { "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(request.onServer_) };
     });
-    constexpr auto peerAddress = "127.0.0.1:19381";
+    const auto peerAddress = testIp(9, 1) + ":19381";
     auto configuration = configurationFor(servers);
     configuration.entryHosts_ = { { "host", "zone", "127.0.0.1:1", peerAddress }, { "other", "zone", "127.0.0.1:1", "127.0.0.1:1" } };
     auto owner = Host(configuration);
--- a/tests/standins/support/faultproxytest.cpp
+++ b/tests/standins/support/faultproxytest.cpp
@@ -1,5 +1,6 @@
 #include "support/faultproxy.h"
 
+#include "core/testaddress.h"
 #include "support/backendserver.h"
 
 #include <doctest/doctest.h>
@@ -17,16 +18,19 @@
 namespace
 {
 
-constexpr auto proxyAddress = "127.0.77.1:7701";
+auto proxyAddress() -> std::string
+{
+    return lycheecleat::testIp(77, 1) + ":7701";
+}
 
 /** A backend server behind a proxy. */
 struct Fixture
 {
     Fixture()
         : backend_(settings())
-        , backendStarted_(backend_.start("127.0.77.2:0"))
-        , proxy_({ ProxyLink { "link", proxyAddress, backend_.address() } })
-        , proxyStarted_(proxy_.start("127.0.77.1:0"))
+        , backendStarted_(backend_.start(lycheecleat::testIp(77, 2) + ":0"))
+        , proxy_({ ProxyLink { "link", proxyAddress(), backend_.address() } })
+        , proxyStarted_(proxy_.start(lycheecleat::testIp(77, 1) + ":0"))
     {
         REQUIRE(backendStarted_);
         REQUIRE(proxyStarted_);
@@ -61,7 +65,7 @@
 
 auto makeConnection() -> std::unique_ptr<httplib::Client>
 {
-    auto connection = std::make_unique<httplib::Client>(std::string("http://") + proxyAddress);
+    auto connection = std::make_unique<httplib::Client>("http://" + proxyAddress());
     connection->set_keep_alive(true);
     connection->set_connection_timeout(std::chrono::milliseconds(300));
     connection->set_read_timeout(std::chrono::milliseconds(300));
