Poll the health of backend servers, so that one that leaves gets no new work

The daemon did not ask for health, and a server that closes its connections was tried again every 2 s. Without a drain rule or a host list, as when the store is down or the zone is cut off, a leaving server kept getting requests. A report of draining, or a connection that is closed after it had been kept, takes a server out; together with ejection at most half of a zone's servers in use. The time after Connection: close doubles up to 30 s.

--- a/libraries/process/daemon.cpp
+++ b/libraries/process/daemon.cpp
@@ -133,6 +133,12 @@
                                  [this](const httplib::Request &request) {
                                      return requests_.bodyLimit(request);
                                  } })
+    , healthPoller_(HealthPollerServices { [this] {
+                                              return requests_.backendsInUse();
+                                          },
+                                           [this](const std::string &backend, const HealthReport &report) {
+                                               requests_.reportHealth(backend, report);
+                                           } })
     , administration_(administrationServices())
 {
 }
@@ -147,6 +153,7 @@
     BOOST_LEAF_CHECK(peerServer_.start());
     membership_.start();
     follower_.start();
+    healthPoller_.start();
     // Last, since a report must not read the parts while they start.
     BOOST_LEAF_CHECK(administration_.start());
     opener_ = std::thread([this] {
@@ -167,6 +174,7 @@
         leave();
     }
     administration_.stop();
+    healthPoller_.stop();
     follower_.stop();
     membership_.stop();
     peerServer_.stop();
@@ -204,7 +212,7 @@
     facts.leavingTime_ = facts.leaving_ ? now - leavingAt_ : absl::ZeroDuration();
     facts.follower_ = follower_.counts();
     facts.traffic_ = peers_.traffic();
-    facts.controlTime_ = membership_.processorTime() + follower_.processorTime() + controlTime_.total();
+    facts.controlTime_ = membership_.processorTime() + follower_.processorTime() + healthPoller_.processorTime() + controlTime_.total();
     facts.lookups_ = lookups_.answered();
     return facts;
 }
--- a/libraries/process/daemon.h
+++ b/libraries/process/daemon.h
@@ -8,6 +8,7 @@
 #include "process/configurationfollower.h"
 #include "process/currentconfiguration.h"
 #include "process/daemonreport.h"
+#include "process/healthpoller.h"
 #include "process/knowledge.h"
 #include "process/lookuphandler.h"
 #include "process/membership.h"
@@ -106,6 +107,7 @@
     LookupHandler lookups_;
     PeerServer peerServer_;
     CallerServer callers_;
+    HealthPoller healthPoller_;
     Administration administration_;
     std::thread opener_;
 };
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/digest.h"
+#include "core/log.h"
 #include "request/shiftdecision.h"
 
 #include <fmt/format.h>
@@ -29,6 +30,9 @@
 /** Bounds the memory of crash records under many different failing requests. */
 constexpr auto maximumCrashRecords = std::size_t { 1000 };
 
+/** A server of another zone counts as in use for this time after a request. */
+constexpr auto useTime = absl::Minutes(1);
+
 auto refusalOf(ExchangeStatus status) -> Refusal
 {
     switch (status) {
@@ -113,7 +117,11 @@
         refused.refusal_ = Refusal::NoCapacity;
         return refused;
     }
-    adoptConfiguration(monotonicNow(), request.configuration_);
+    configure(monotonicNow(), request.configuration_);
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        retries_ = withRequest(retries_);
+    }
     if (isSuspect(request)) {
         refused.refusal_ = Refusal::CrashSuspect;
         return refused;
@@ -134,15 +142,17 @@
     }
 }
 
-auto Dispatcher::adoptConfiguration(absl::Time now, const ConfigurationPointer &configuration) -> void
+auto Dispatcher::configure(absl::Time now, const ConfigurationPointer &configuration) -> void
 {
     const auto lock = absl::MutexLock(&mutex_);
-    retries_ = withRequest(retries_);
     // A request that began before the newest revision must not undo it.
     const auto isNewer = !configuration_ || configuration->revision_ > configuration_->revision_;
     if (isNewer) {
         configuration_ = configuration;
         health_.configure(now, *configuration, leaving_);
+        absl::erase_if(usedAt_, [&](const auto &entry) {
+            return entry.second + useTime < now;
+        });
     }
 }
 
@@ -279,6 +289,7 @@
     const auto isCrash = exchange.status_ == ExchangeStatus::Ended && !exchange.wasIdleForLong_;
     const auto fingerprint = isCrash ? fingerprintOf(run.request_) : std::string {};
     const auto lock = absl::MutexLock(&mutex_);
+    usedAt_[backend.name_] = now;
     health_.note(now, backend.name_, healthSignOf(exchange));
     if (isCrash) {
         crashes_.record(now, { fingerprint, { backend.name_ }, now });
@@ -332,6 +343,38 @@
     }
 }
 
+auto Dispatcher::backendsInUse(absl::Time now) const -> std::vector<BackendServer>
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    auto servers = std::vector<BackendServer> {};
+    if (!configuration_) {
+        return servers;
+    }
+    for (const auto &pool : configuration_->pools_) {
+        for (const auto &backend : pool.backends_) {
+            const auto used = usedAt_.find(backend.name_);
+            const auto isUsed = used != usedAt_.end() && now - used->second < useTime;
+            if (backend.zone_ == zone_ || isUsed) {
+                servers.push_back(backend);
+            }
+        }
+    }
+    return servers;
+}
+
+auto Dispatcher::reportHealth(absl::Time now, const std::string &backend, const HealthReport &report) -> void
+{
+    auto isChanged = false;
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        isChanged = health_.report(now, backend, report);
+    }
+    if (isChanged) {
+        const auto isLeaving = report.draining_ || report.closing_;
+        logLine(wallNow(), LogLevel::Info, "backend_health", { { "backend", backend }, { "leaving", isLeaving ? "true" : "false" } });
+    }
+}
+
 auto Dispatcher::crashRecords(absl::Time now) const -> std::vector<CrashRecord>
 {
     const auto lock = absl::ReaderMutexLock(&mutex_);
--- a/libraries/process/dispatcher.h
+++ b/libraries/process/dispatcher.h
@@ -10,6 +10,7 @@
 #include "version/configuration.h"
 
 #include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
@@ -73,6 +74,15 @@
     /** Backend servers that are reported as leaving; they get no new request. */
     auto setLeavingBackends(std::vector<std::string> names) -> void;
 
+    /** Takes over a configuration before the first request of it. */
+    auto configure(absl::Time now, const ConfigurationPointer &configuration) -> void;
+
+    /** Backend servers of this host's zone, and those of other zones that were used in the last minute. */
+    [[nodiscard]] auto backendsInUse(absl::Time now) const -> std::vector<BackendServer>;
+
+    /** Takes an answer of a backend server's health endpoint. */
+    auto reportHealth(absl::Time now, const std::string &backend, const HealthReport &report) -> void;
+
     /** Requests that ended backend servers, seen here or reported by peers. */
     [[nodiscard]] auto crashRecords(absl::Time now) const -> std::vector<CrashRecord>;
     auto addCrashRecord(absl::Time now, const CrashRecord &record) -> void;
@@ -89,7 +99,6 @@
         const Shift *shift_ = nullptr;
     };
 
-    auto adoptConfiguration(absl::Time now, const ConfigurationPointer &configuration) -> void;
     [[nodiscard]] auto isSuspect(const DispatchRequest &request) const -> bool;
     [[nodiscard]] auto regionChoices(const Run &run) const -> std::vector<RegionChoice>;
     [[nodiscard]] auto acquire(Run &run) -> std::optional<SlotGrant>;
@@ -109,6 +118,8 @@
     ConfigurationPointer configuration_ ABSL_GUARDED_BY(mutex_);
     std::vector<std::string> leaving_ ABSL_GUARDED_BY(mutex_);
     BackendHealth health_ ABSL_GUARDED_BY(mutex_);
+    /** Last use of backend servers by name. */
+    absl::flat_hash_map<std::string, absl::Time> usedAt_ ABSL_GUARDED_BY(mutex_);
     RetryBudget retries_ ABSL_GUARDED_BY(mutex_);
     CrashGuard crashes_ ABSL_GUARDED_BY(mutex_);
 };
--- /dev/null
+++ b/libraries/process/healthpollertest.cpp
@@ -0,0 +1,89 @@
+#include "process/healthpoller.h"
+
+#include "connection/scriptedserver.h"
+#include "core/testaddress.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+auto reply(const std::string &head, const std::string &body) -> std::string
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct AnswerCase
+{
+    std::string description_;
+    std::string body_;
+    int status_;
+    bool isDraining_;
+};
+
+}
+
+// Guards against an unexpected answer that counts as draining or ends the poller.
+TEST_CASE("only a status of draining counts as draining")
+{
+    const auto cases = std::vector<AnswerCase> {
+        { "serving", R"({"status":"ok"})", 200, false },
+        { "draining", R"({"status":"draining"})", 200, true },
+        { "draining with an error status", R"({"status":"draining"})", 503, true },
+        { "no such path", "not found", 404, false },
+        { "another type", R"({"status":1})", 200, false },
+        { "a list", "[1]", 200, false },
+        { "empty", "", 200, false },
+    };
+    for (const auto &answerCase : cases) {
+        CAPTURE(answerCase.description_);
+        auto exchange = BackendExchange {};
+        CHECK_FALSE(readHealth(exchange));
+        exchange.status_ = ExchangeStatus::Whole;
+        exchange.answer_.status_ = answerCase.status_;
+        exchange.answer_.body_ = answerCase.body_;
+        const auto report = readHealth(exchange);
+        REQUIRE(report.has_value());
+        CHECK(report->draining_ == answerCase.isDraining_);
+    }
+}
+
+// Guards against silent servers that keep the threads busy, so that a draining server is noticed late.
+TEST_CASE("silent servers do not delay the polls of the others")
+{
+    constexpr auto silentServers = 20;
+    auto silent = std::vector<std::unique_ptr<ScriptedServer>> {};
+    auto servers = std::vector<BackendServer> {};
+    for (auto number = 0; number < silentServers; ++number) {
+        silent.push_back(std::make_unique<ScriptedServer>(testIp(11, 1), [](const ScriptedRequest &) {
+            return ScriptedReply { "", absl::Seconds(1) };
+        }));
+        servers.push_back({ "silent-" + std::to_string(number), "zone", silent.back()->address() });
+    }
+    auto draining = ScriptedServer(testIp(11, 1), [](const ScriptedRequest &) {
+        return ScriptedReply { reply("HTTP/1.1 200 OK\r\n", R"({"status":"draining"})") };
+    });
+    servers.push_back({ "draining", "zone", draining.address() });
+    auto mutex = absl::Mutex {};
+    auto reports = std::map<std::string, int> {};
+    auto poller = HealthPoller(HealthPollerServices { [&] {
+                                                         return servers;
+                                                     },
+                                                      [&](const std::string &name, const HealthReport &report) {
+                                                          const auto lock = absl::MutexLock(&mutex);
+                                                          reports[name] += report.draining_ ? 1 : 0;
+                                                      } });
+    poller.start();
+    absl::SleepFor(absl::Seconds(5));
+    poller.stop();
+    // One poll a second; a share is lost to the first round, in which every server is new.
+    CHECK(reports["draining"] >= 3);
+    CHECK(reports.size() == 1);
+}
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -571,6 +571,21 @@
     state_->dispatcher_.setLeavingBackends(std::move(names));
 }
 
+auto RequestHandler::backendsInUse() -> std::vector<BackendServer>
+{
+    const auto now = monotonicNow();
+    const auto configuration = state_->services_.configuration_->get();
+    if (configuration->revision_ > 0) {
+        state_->dispatcher_.configure(now, configuration);
+    }
+    return state_->dispatcher_.backendsInUse(now);
+}
+
+auto RequestHandler::reportHealth(const std::string &backend, const HealthReport &report) -> void
+{
+    state_->dispatcher_.reportHealth(monotonicNow(), backend, report);
+}
+
 auto setRefusal(httplib::Response &response, Refusal refusal, const std::string &requestId) -> void
 {
     setAnswer(response, refusalAnswer(refusal, requestId));
--- a/libraries/process/requesthandler.h
+++ b/libraries/process/requesthandler.h
@@ -8,7 +8,9 @@
 #include "process/knowledge.h"
 #include "process/requestobservation.h"
 #include "process/sharekeeper.h"
+#include "request/backendhealth.h"
 #include "request/refusal.h"
+#include "version/backendserver.h"
 
 #include <httplib.h>
 
@@ -68,6 +70,12 @@
     /** Backend servers that the host list or peers report as leaving. */
     auto setLeavingBackends(std::vector<std::string> names) -> void;
 
+    /** Backend servers whose health matters to this host, by the configuration in force. */
+    [[nodiscard]] auto backendsInUse() -> std::vector<BackendServer>;
+
+    /** Takes an answer of a backend server's health endpoint. */
+    auto reportHealth(const std::string &backend, const HealthReport &report) -> void;
+
 private:
     struct State;
     std::unique_ptr<State> state_;
--- a/libraries/request/backendhealth.cpp
+++ b/libraries/request/backendhealth.cpp
@@ -19,9 +19,12 @@
 constexpr auto longestEjection = absl::Seconds(30);
 constexpr auto longestDoubling = 5;
 
-/** How long a server that closes its connections gets no new request; a leaving server is on the host list by then. */
+/** How long a server that closes its connections gets no new request at first; a leaving server is on the host list by then. */
 constexpr auto closingTime = absl::Seconds(2);
 
+/** Bound of that time, which doubles as long as every further answer closes its connection. */
+constexpr auto longestClosingTime = absl::Seconds(30);
+
 /** Part of its requests that a server gets at the begin of slow start; without any it would stay cold. */
 constexpr auto firstShare = 0.1;
 
@@ -30,6 +33,11 @@
     return std::min(firstEjection * (1 << std::min(ejections, longestDoubling)), longestEjection);
 }
 
+auto closingTimeAfter(int closings) -> absl::Duration
+{
+    return std::min(closingTime * (1 << std::min(closings, longestDoubling)), longestClosingTime);
+}
+
 auto unitInterval(std::uint64_t hash) -> double
 {
     constexpr auto mantissaBits = 53;
@@ -70,7 +78,12 @@
     if (sign == HealthSign::Good || sign == HealthSign::Closing) {
         server.failures_ = 0;
         server.ejections_ = 0;
-        server.closingUntil_ = sign == HealthSign::Closing ? now + closingTime : server.closingUntil_;
+        server.closings_ = sign == HealthSign::Closing ? server.closings_ : 0;
+        // Answers to requests that were under way do not prolong the time.
+        if (sign == HealthSign::Closing && server.closingUntil_ <= now) {
+            server.closingUntil_ = now + closingTimeAfter(server.closings_);
+            server.closings_ += 1;
+        }
         return;
     }
     server.failures_ += sign == HealthSign::Absent ? failuresToEject : 1;
@@ -82,32 +95,64 @@
     }
 }
 
-auto BackendHealth::ejectedOf(absl::Time now, const Pool &pool) const -> std::vector<std::string>
+auto BackendHealth::report(absl::Time now, const std::string &backend, const HealthReport &report) -> bool
+{
+    const auto found = servers_.find(backend);
+    if (found == servers_.end()) {
+        return false;
+    }
+    auto &server = found->second;
+    // An endpoint that closes every connection says nothing by it.
+    const auto isLeaving = report.draining_ || (report.closing_ && server.hasKeptReports_);
+    server.hasKeptReports_ = server.hasKeptReports_ || !report.closing_;
+    if (server.isReportedDraining_ && !isLeaving) {
+        server.startedAt_ = now;
+    }
+    server.isReportedDraining_ = isLeaving && (server.isReportedDraining_ || report.draining_);
+    const auto wasLeaving = server.leavingSince_ < absl::InfiniteFuture();
+    if (isLeaving != wasLeaving) {
+        server.leavingSince_ = isLeaving ? now : absl::InfiniteFuture();
+    }
+    return isLeaving != wasLeaving;
+}
+
+auto BackendHealth::heldOutOf(absl::Time now, const Pool &pool) const -> std::vector<std::string>
 {
     struct Zone
     {
         int servers_ = 0;
         std::vector<std::pair<absl::Time, std::string>> ejected_;
+        std::vector<std::pair<absl::Time, std::string>> leaving_;
     };
     auto zones = std::map<std::string, Zone> {};
     for (const auto &backend : pool.backends_) {
+        const auto found = servers_.find(backend.name_);
+        if (found != servers_.end() && found->second.isOut_) {
+            continue;
+        }
         auto &zone = zones[backend.zone_];
         zone.servers_ += 1;
-        const auto found = servers_.find(backend.name_);
-        if (found != servers_.end() && found->second.ejectedUntil_ > now) {
+        if (found == servers_.end()) {
+            continue;
+        }
+        if (found->second.ejectedUntil_ > now) {
             zone.ejected_.emplace_back(found->second.ejectedUntil_, backend.name_);
+        } else if (found->second.leavingSince_ < absl::InfiniteFuture()) {
+            zone.leaving_.emplace_back(found->second.leavingSince_, backend.name_);
         }
     }
-    auto ejected = std::vector<std::string> {};
+    auto heldOut = std::vector<std::string> {};
     for (auto &[name, zone] : zones) {
-        // Beyond half the zone, those that come back last have failed most often.
+        // Beyond half the zone, those that come back last have failed most often, and those that were reported first stay out.
         std::sort(zone.ejected_.rbegin(), zone.ejected_.rend());
+        std::sort(zone.leaving_.begin(), zone.leaving_.end());
+        zone.ejected_.insert(zone.ejected_.end(), zone.leaving_.begin(), zone.leaving_.end());
         const auto count = std::min<std::size_t>(zone.ejected_.size(), static_cast<std::size_t>(zone.servers_ / 2));
         for (auto index = std::size_t { 0 }; index < count; ++index) {
-            ejected.push_back(zone.ejected_[index].second);
+            heldOut.push_back(zone.ejected_[index].second);
         }
     }
-    return ejected;
+    return heldOut;
 }
 
 auto BackendHealth::isHeldBack(absl::Time now, const Pool &pool, const std::string &name, const Server &server, std::uint64_t requestHash) const -> bool
@@ -126,7 +171,7 @@
 auto BackendHealth::exclusions(absl::Time now, const Pool &pool, std::uint64_t requestHash) const -> Exclusions
 {
     auto exclusions = Exclusions {};
-    const auto ejected = ejectedOf(now, pool);
+    const auto heldOut = heldOutOf(now, pool);
     for (const auto &backend : pool.backends_) {
         const auto found = servers_.find(backend.name_);
         if (found == servers_.end()) {
@@ -136,8 +181,8 @@
             exclusions.required_.push_back(backend.name_);
             continue;
         }
-        const auto isEjected = std::find(ejected.begin(), ejected.end(), backend.name_) != ejected.end();
-        if (isEjected || isHeldBack(now, pool, backend.name_, found->second, requestHash)) {
+        const auto isHeldOut = std::find(heldOut.begin(), heldOut.end(), backend.name_) != heldOut.end();
+        if (isHeldOut || isHeldBack(now, pool, backend.name_, found->second, requestHash)) {
             exclusions.preferred_.push_back(backend.name_);
         }
     }
--- a/libraries/request/backendhealth.h
+++ b/libraries/request/backendhealth.h
@@ -1,4 +1,4 @@
-/** Passive health of backend servers: outlier ejection and slow start. */
+/** Health of backend servers: outlier ejection, health reports and slow start. */
 #pragma once
 
 #include "version/configuration.h"
@@ -26,12 +26,21 @@
     Closing,
 };
 
+/** What the health endpoint of a backend server answered. */
+struct HealthReport
+{
+    /** The server says that it is draining. */
+    bool draining_ = false;
+    /** The server closes the connection of the report. */
+    bool closing_ = false;
+};
+
 /** Backend servers to leave out of a choice. */
 struct Exclusions
 {
     /** Drained or leaving: they must get no request. */
     std::vector<std::string> required_;
-    /** Ejected, closing or in slow start: left out as long as others remain. */
+    /** Ejected, reported as leaving, closing or in slow start: left out as long as others remain. */
     std::vector<std::string> preferred_;
 };
 
@@ -44,7 +53,13 @@
 
     auto note(absl::Time now, const std::string &backend, HealthSign sign) -> void;
 
-    /** The backend servers of a pool to leave out for a request with the given hash. Ejection never takes more than half of a zone's servers. */
+    /** Takes an answer of a health endpoint; says whether the server begins or ceases to be reported as leaving. */
+    auto report(absl::Time now, const std::string &backend, const HealthReport &report) -> bool;
+
+    /**
+     * The backend servers of a pool to leave out for a request with the given hash. Ejection and health reports together never take more than half of
+     * a zone's servers that are in use, and ejection, which rests on requests, comes first: health endpoints may lie.
+     */
     [[nodiscard]] auto exclusions(absl::Time now, const Pool &pool, std::uint64_t requestHash) const -> Exclusions;
 
 private:
@@ -53,14 +68,20 @@
         int failures_ = 0;
         int ejections_ = 0;
         absl::Time ejectedUntil_ = absl::InfinitePast();
+        int closings_ = 0;
         absl::Time closingUntil_ = absl::InfinitePast();
+        /** When the server began to be reported as leaving; infinite while it is not. */
+        absl::Time leavingSince_ = absl::InfiniteFuture();
+        bool isReportedDraining_ = false;
+        /** The health endpoint has kept its connection at least once. */
+        bool hasKeptReports_ = false;
         /** Start of slow start. */
         absl::Time startedAt_ = absl::InfinitePast();
         /** Drained or leaving. */
         bool isOut_ = false;
     };
 
-    [[nodiscard]] auto ejectedOf(absl::Time now, const Pool &pool) const -> std::vector<std::string>;
+    [[nodiscard]] auto heldOutOf(absl::Time now, const Pool &pool) const -> std::vector<std::string>;
     [[nodiscard]] auto isHeldBack(absl::Time now, const Pool &pool, const std::string &name, const Server &server, std::uint64_t requestHash) const -> bool;
 
     bool hasConfiguration_ = false;
--- a/libraries/request/backendhealthtest.cpp
+++ b/libraries/request/backendhealthtest.cpp
@@ -105,3 +105,88 @@
         CHECK(excludedPercent(health, start + absl::Seconds(10), pool, name) == 0);
     }
 }
+
+namespace
+{
+
+struct ReportCase
+{
+    std::string description_;
+    std::vector<HealthReport> reports_;
+    bool isLeftOut_;
+};
+
+}
+
+// Guards against a draining server that gets new requests, and against endpoints that close every connection as a matter of course.
+TEST_CASE("health reports take a leaving server out")
+{
+    const auto keeps = HealthReport {};
+    const auto drains = HealthReport { true, false };
+    const auto closes = HealthReport { false, true };
+    const auto cases = std::vector<ReportCase> {
+        { "no report", {}, false },
+        { "healthy", { keeps }, false },
+        { "draining", { drains }, true },
+        { "draining and closing", { { true, true } }, true },
+        { "draining, then back", { drains, keeps }, false },
+        { "closes as always", { closes, closes }, false },
+        { "closes after keeping", { keeps, closes, closes }, true },
+        { "closes, then keeps again", { keeps, closes, keeps }, false },
+    };
+    for (const auto &reportCase : cases) {
+        CAPTURE(reportCase.description_);
+        const auto configuration = configurationOf({ "z1-a", "z1-b" });
+        auto health = BackendHealth();
+        health.configure(start, configuration, {});
+        for (const auto &report : reportCase.reports_) {
+            static_cast<void>(health.report(start, "z1-a", report));
+        }
+        const auto expected = reportCase.isLeftOut_ ? Names { "z1-a" } : Names {};
+        CHECK(health.exclusions(start + absl::Minutes(1), configuration.pools_.front(), 0).preferred_ == expected);
+    }
+}
+
+// Guards against lying endpoints that take out more than half of a zone, or that keep a failing server in use.
+TEST_CASE("reports take out at most half of a zone's servers in use, after those ejected")
+{
+    const auto configuration = configurationOf({ "z1-a", "z1-b", "z1-c", "z1-d", "z2-a" });
+    const auto &pool = configuration.pools_.front();
+    auto health = BackendHealth();
+    health.configure(start, configuration, {});
+    const auto *const reportedLater = "z1-a";
+    for (const auto *const name : { "z1-b", "z1-c", "z1-d", "z2-a" }) {
+        static_cast<void>(health.report(start, name, { true, false }));
+    }
+    static_cast<void>(health.report(start + absl::Seconds(1), reportedLater, { true, false }));
+    const auto now = start + absl::Seconds(2);
+    CHECK(health.exclusions(now, pool, 0).preferred_ == Names { "z1-b", "z1-c" });
+    health.note(now, reportedLater, HealthSign::Absent);
+    CHECK(health.exclusions(now, pool, 0).preferred_ == Names { "z1-a", "z1-b" });
+    health.configure(now, configuration, { "z1-c", "z1-d" });
+    const auto withDrained = health.exclusions(now, pool, 0);
+    CHECK(withDrained.required_ == Names { "z1-c", "z1-d" });
+    CHECK(withDrained.preferred_ == Names { "z1-a" });
+}
+
+// Guards against a server that closes its connections for long and is tried with callers' requests every two seconds.
+TEST_CASE("the time out of use grows while a server keeps closing its connections")
+{
+    const auto configuration = configurationOf({ "z1-a", "z1-b" });
+    const auto &pool = configuration.pools_.front();
+    auto health = BackendHealth();
+    health.configure(start, configuration, {});
+    auto now = start;
+    for (const auto seconds : { 2, 4, 8, 16, 30, 30 }) {
+        CAPTURE(seconds);
+        health.note(now, "z1-a", HealthSign::Closing);
+        health.note(now, "z1-a", HealthSign::Closing);
+        const auto end = now + absl::Seconds(seconds);
+        CHECK(health.exclusions(end - absl::Milliseconds(1), pool, 0).preferred_ == Names { "z1-a" });
+        CHECK(health.exclusions(end, pool, 0).preferred_.empty());
+        now = end;
+    }
+    health.note(now, "z1-a", HealthSign::Good);
+    health.note(now, "z1-a", HealthSign::Closing);
+    CHECK(health.exclusions(now + absl::Seconds(2), pool, 0).preferred_.empty());
+}
--- /dev/null
+++ b/tests/integration/support/leaving.cpp
@@ -0,0 +1,179 @@
+#include "support/leaving.h"
+
+#include "support/controlcall.h"
+#include "support/invariants.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace integration
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr auto hostListLagMilliseconds = 2000;
+constexpr auto warmUpTime = std::chrono::milliseconds { 1500 };
+/** Connections that the partition froze are given up within the deadline of the route. */
+constexpr auto settleTime = std::chrono::seconds { 5 };
+constexpr auto pauseBetweenRequests = std::chrono::milliseconds { 20 };
+constexpr auto shortCallersPerHost = 3;
+constexpr auto longCallersPerHost = 8;
+/** Below half the deadline, after which a silent connection is given up. */
+constexpr auto longServiceMilliseconds = "1500";
+constexpr auto statusOk = 200;
+
+auto sendRepeatedly(const std::atomic<bool> &stopped, Caller &caller, const std::string &address, bool isLong) -> void
+{
+    while (!stopped) {
+        auto request = CallerRequest {};
+        request.path_ = "/open/prices";
+        if (isLong) {
+            request.headers_ = { { "X-Test-Service-Ms", longServiceMilliseconds } };
+        }
+        caller.send(address, request);
+        std::this_thread::sleep_for(pauseBetweenRequests);
+    }
+}
+
+auto beginLeaving(Deployment &deployment, const LeavingServer &leaving) -> void
+{
+    const auto &backend = deployment.backend(leaving.name_);
+    switch (leaving.sign_) {
+    case LeavingSign::Rule: {
+        const auto drained = deployment.runTool({ "drain", "backend/" + leaving.name_ });
+        REQUIRE(drained.exitCode_ == 0);
+        return;
+    }
+    case LeavingSign::HostList: {
+        const auto entry = Json { { "name", leaving.name_ }, { "address", backend.address_ }, { "leaving", true } };
+        postControl(deployment.storeAddress(), "/control/hosts", Json { { "lag_ms", hostListLagMilliseconds }, { "hosts", Json::array({ entry }) } });
+        return;
+    }
+    case LeavingSign::Health:
+        setHealth(backend, "draining");
+        return;
+    case LeavingSign::ConnectionClose:
+        setHealth(backend, "closing");
+        return;
+    }
+}
+
+auto beginOutage(Deployment &deployment, Outage outage) -> void
+{
+    if (outage == Outage::Store) {
+        postControl(deployment.storeAddress(), "/control/outage", Json { { "on", true } });
+    }
+    if (outage == Outage::ZoneCutOff) {
+        deployment.isolateZone("r1-3", true);
+        std::this_thread::sleep_for(settleTime);
+    }
+}
+
+/** Waits until a server has a request in flight. */
+auto waitForWork(const TestBackend &backend) -> bool
+{
+    const auto deadline = std::chrono::steady_clock::now() + settleTime;
+    while (readControl(backend.listen_, "/control/counts").at("in_flight") == 0) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(pauseBetweenRequests);
+    }
+    return true;
+}
+
+auto unservedCalls(const Caller &caller) -> std::string
+{
+    auto unserved = std::string {};
+    for (const auto &call : caller.records()) {
+        if (call.answer_.status_ != statusOk) {
+            unserved += fmt::format("{} {} {} {}\n", call.entryHost_, call.answer_.status_, call.answer_.reason_, call.answer_.error_);
+        }
+    }
+    return unserved;
+}
+
+}
+
+auto leavingSettings() -> DeploymentSettings
+{
+    auto settings = DeploymentSettings {};
+    settings.zonesPerRegion_ = 3;
+    settings.backendsPerZone_ = 4;
+    settings.routeDeadline_ = "4s";
+    settings.proxied_ = true;
+    return settings;
+}
+
+OpenLoad::OpenLoad(Deployment &deployment, Caller &caller)
+{
+    for (auto &host : deployment.hosts()) {
+        for (auto number = 0; number < shortCallersPerHost + longCallersPerHost; ++number) {
+            threads_.emplace_back([this, &caller, address = host.address_, isLong = number >= shortCallersPerHost] {
+                sendRepeatedly(stopped_, caller, address, isLong);
+            });
+        }
+    }
+}
+
+OpenLoad::~OpenLoad()
+{
+    stopped_ = true;
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+}
+
+auto receivedRequests(const TestBackend &backend) -> int
+{
+    const auto record = readControl(backend.listen_, "/control/record").at("requests");
+    return static_cast<int>(std::count_if(record.begin(), record.end(), [](const Json &request) {
+        return request.at("outcome") != "report";
+    }));
+}
+
+auto setHealth(const TestBackend &backend, const std::string &state) -> void
+{
+    postControl(backend.listen_, "/control/health", Json { { "state", state } });
+}
+
+auto checkLeaving(Outage outage, const std::vector<LeavingServer> &servers) -> void
+{
+    auto deployment = Deployment(leavingSettings());
+    auto earlyCaller = Caller {};
+    {
+        const auto load = OpenLoad(deployment, earlyCaller);
+        std::this_thread::sleep_for(warmUpTime);
+        beginOutage(deployment, outage);
+    }
+    auto caller = Caller {};
+    auto received = std::vector<int> {};
+    {
+        const auto load = OpenLoad(deployment, caller);
+        std::this_thread::sleep_for(warmUpTime);
+        for (const auto &leaving : servers) {
+            CAPTURE(leaving.name_);
+            REQUIRE(waitForWork(deployment.backend(leaving.name_)));
+            beginLeaving(deployment, leaving);
+        }
+        std::this_thread::sleep_for(leavingBound);
+        for (const auto &leaving : servers) {
+            received.push_back(receivedRequests(deployment.backend(leaving.name_)));
+        }
+        std::this_thread::sleep_for(observedTime);
+    }
+    for (auto index = std::size_t { 0 }; index < servers.size(); ++index) {
+        CAPTURE(servers[index].name_);
+        CHECK(receivedRequests(deployment.backend(servers[index].name_)) - received[index] == 0);
+    }
+    CHECK(unservedCalls(caller) == "");
+    CHECK(findViolations(deployment, earlyCaller.records(), {}) == "");
+    CHECK(findViolations(deployment, caller.records(), {}) == "");
+}
+
+}
--- a/tests/standins/support/backendserver.cpp
+++ b/tests/standins/support/backendserver.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <thread>
+#include <tuple>
 
 namespace standin
 {
@@ -107,7 +108,7 @@
     }
     if (request.path_ == "/health" || request.path_ == "/load") {
         endRecord(beginRecord(request, "report"), "report");
-        return request.path_ == "/health" ? healthAnswer() : loadAnswer();
+        return request.path_ == "/health" ? healthAnswer(request) : loadAnswer();
     }
     return execute(request);
 }
@@ -187,16 +188,32 @@
     return answer;
 }
 
-auto BackendServer::healthAnswer() -> HttpAnswer
+auto BackendServer::healthAnswer(const HttpRequest &request) -> HttpAnswer
+{
+    {
+        const auto lock = std::lock_guard(mutex_);
+        if (health_ != "silent") {
+            return healthReport();
+        }
+    }
+    std::ignore = waitUnlessClosed(request.socket_, Clock::now() + longestSilence);
+    auto answer = HttpAnswer {};
+    answer.dropped_ = true;
+    return answer;
+}
+
+// The caller holds the lock.
+auto BackendServer::healthReport() const -> HttpAnswer
 {
-    const auto lock = std::lock_guard(mutex_);
     if (health_ == "lying") {
         return answerOf(statusOk, Json { { "status", "ok" } });
     }
     if (fault_.mode_ == "error" && faultCount_ != 0) {
         return answerOf(statusUnavailable, Json { { "status", "failing" } });
     }
-    return answerOf(statusOk, Json { { "status", health_ == "draining" ? "draining" : "ok" } });
+    auto answer = answerOf(statusOk, Json { { "status", health_ == "draining" ? "draining" : "ok" } });
+    answer.closing_ = health_ == "closing";
+    return answer;
 }
 
 auto BackendServer::loadAnswer() -> HttpAnswer
--- a/tests/standins/support/backendserver.h
+++ b/tests/standins/support/backendserver.h
@@ -43,8 +43,8 @@
 /**
  * Serves any path. Request headers: X-Test-Id (identifies the execution), X-Test-Service-Ms, X-Test-Answer-Bytes, X-Test-Crash, X-Test-Mode
  * ("cut=10"), X-Request-Timeout-Ms. GET /health and /load report the state. Control calls: POST /control/mode {"mode", "value", "count"},
- * /control/health {"state": ok, draining, closing, lying}, /control/cold; GET /control/record, /control/executions, /control/counts.
- * A lying server reports that it is healthy and idle whatever its state is. Thread-safe.
+ * /control/health {"state": ok, draining, closing, lying, silent}, /control/cold; GET /control/record, /control/executions, /control/counts.
+ * A lying server reports that it is healthy and idle whatever its state is; a silent one does not answer GET /health. Thread-safe.
  */
 class BackendServer
 {
@@ -78,7 +78,8 @@
     auto execute(const HttpRequest &request) -> HttpAnswer;
     auto serve(const HttpRequest &request, const BackendFault &fault, std::int64_t record) -> HttpAnswer;
     auto takeSlot() -> bool;
-    auto healthAnswer() -> HttpAnswer;
+    auto healthAnswer(const HttpRequest &request) -> HttpAnswer;
+    [[nodiscard]] auto healthReport() const -> HttpAnswer;
     auto loadAnswer() -> HttpAnswer;
     auto recordAnswer() -> HttpAnswer;
     auto executionsAnswer() -> HttpAnswer;
