--- /dev/null
+++ b/tests/integration/gracefulstoptest.cpp
@@ -0,0 +1,257 @@
+#include "support/caller.h"
+#include "support/deployment.h"
+#include "support/invariants.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace integration;
+using Clock = std::chrono::steady_clock;
+
+namespace
+{
+
+constexpr auto lookupPath = "/.well-known/lycheecleat/lookup";
+constexpr auto lookupLifetime = std::chrono::seconds { 2 };
+/** Time after which no host names one that is leaving. */
+constexpr auto lookupBound = std::chrono::seconds { 2 };
+constexpr auto warmUpTime = std::chrono::seconds { 1 };
+/** Longer than the stop takes: lookup lifetime, spread time and the longest request. */
+constexpr auto exitLimit = std::chrono::seconds { 20 };
+constexpr auto callerCount = 12;
+constexpr auto longRequestCount = 6;
+constexpr auto longServiceMilliseconds = "1500";
+constexpr auto shortServiceMilliseconds = "30";
+constexpr auto statusOk = 200;
+
+auto stopSettings() -> DeploymentSettings
+{
+    auto settings = DeploymentSettings {};
+    settings.zonesPerRegion_ = 3;
+    settings.slots_ = 16;
+    settings.lookupLifetime_ = "2s";
+    settings.routeDeadline_ = "4s";
+    return settings;
+}
+
+/** The hosts that a lookup names. */
+auto lookUp(Caller &caller, const std::string &host) -> std::vector<std::string>
+{
+    auto request = CallerRequest {};
+    request.path_ = lookupPath;
+    auto addresses = std::vector<std::string> {};
+    const auto answer = caller.send(host, request);
+    if (answer.status_ != statusOk) {
+        return addresses;
+    }
+    const auto body = nlohmann::json::parse(answer.body_);
+    for (const auto &named : body.at("hosts")) {
+        addresses.push_back(named.at("address").get<std::string>());
+    }
+    return addresses;
+}
+
+/** Callers that use a lookup answer for its whole lifetime and then look up again, some of them on one connection per answer. */
+class CachingCallers
+{
+public:
+    CachingCallers(Caller &caller, std::vector<std::string> lookupHosts)
+        : caller_(caller)
+        , lookupHosts_(std::move(lookupHosts))
+    {
+        for (auto number = 0; number < callerCount; ++number) {
+            threads_.emplace_back([this, number] {
+                while (!stopped_) {
+                    useOneLookup(number);
+                }
+            });
+        }
+    }
+    CachingCallers(const CachingCallers &) = delete;
+    auto operator=(const CachingCallers &) -> CachingCallers & = delete;
+    ~CachingCallers()
+    {
+        stop();
+    }
+
+    auto stop() -> void
+    {
+        stopped_ = true;
+        for (auto &thread : threads_) {
+            if (thread.joinable()) {
+                thread.join();
+            }
+        }
+    }
+
+    /** Requests that were not served, one a line. */
+    [[nodiscard]] auto failures() -> std::string
+    {
+        const auto lock = std::lock_guard(mutex_);
+        return failures_;
+    }
+
+    /** Requests sent to a host. */
+    [[nodiscard]] auto sentTo(const std::string &address) -> int
+    {
+        const auto lock = std::lock_guard(mutex_);
+        return sent_[address];
+    }
+
+private:
+    auto useOneLookup(int number) -> void
+    {
+        // The lifetime of the answer begins with the question, as it does for a careful caller.
+        const auto end = Clock::now() + lookupLifetime;
+        const auto addresses = lookUp(caller_, lookupHosts_[static_cast<std::size_t>(number) % lookupHosts_.size()]);
+        if (addresses.empty()) {
+            note("lookup", "not answered");
+            return;
+        }
+        // Each caller spreads its requests over the named hosts, so that the leaving one is used until the end of the lifetime.
+        const auto &address = addresses[static_cast<std::size_t>(number) % addresses.size()];
+        auto connection = httplib::Client("http://" + address);
+        connection.set_keep_alive(true);
+        connection.set_read_timeout(std::chrono::seconds(10));
+        while (!stopped_ && Clock::now() < end) {
+            const auto isKept = number % 2 == 0;
+            const auto error = isKept ? sendKept(connection) : sendOnce(address);
+            note(address, error);
+        }
+    }
+
+    auto sendOnce(const std::string &address) -> std::string
+    {
+        auto request = CallerRequest {};
+        request.path_ = "/open/prices";
+        request.headers_ = { { "X-Test-Service-Ms", shortServiceMilliseconds } };
+        const auto answer = caller_.send(address, request);
+        return answer.status_ == statusOk ? "" : std::to_string(answer.status_) + " " + answer.reason_ + " " + answer.error_;
+    }
+
+    static auto sendKept(httplib::Client &connection) -> std::string
+    {
+        const auto result = connection.Get("/open/prices", { { "X-Test-Id", makeTestId() }, { "X-Test-Service-Ms", shortServiceMilliseconds } });
+        if (!result) {
+            return "kept connection: " + httplib::to_string(result.error());
+        }
+        return result->status == statusOk ? "" : "kept connection: " + std::to_string(result->status) + " " + result->body;
+    }
+
+    auto note(const std::string &address, const std::string &error) -> void
+    {
+        const auto lock = std::lock_guard(mutex_);
+        ++sent_[address];
+        if (!error.empty()) {
+            failures_ += address + ": " + error + "\n";
+        }
+    }
+
+    Caller &caller_;
+    const std::vector<std::string> lookupHosts_;
+    std::atomic<bool> stopped_ = false;
+    std::mutex mutex_;
+    std::map<std::string, int> sent_;
+    std::string failures_;
+    std::vector<std::thread> threads_;
+};
+
+/** Long requests sent to one host at once. */
+class LongRequests
+{
+public:
+    LongRequests(Caller &caller, const std::string &address)
+    {
+        for (auto number = 0; number < longRequestCount; ++number) {
+            threads_.emplace_back([this, &caller, address] {
+                auto request = CallerRequest {};
+                request.path_ = "/open/long";
+                request.headers_ = { { "X-Test-Service-Ms", longServiceMilliseconds } };
+                const auto answer = caller.send(address, request);
+                if (answer.status_ != statusOk) {
+                    const auto lock = std::lock_guard(mutex_);
+                    failures_ += std::to_string(answer.status_) + " " + answer.reason_ + " " + answer.error_ + "\n";
+                }
+            });
+        }
+    }
+
+    /** Waits for all answers; gives those that are not served requests, one a line. */
+    auto waitForFailures() -> std::string
+    {
+        for (auto &thread : threads_) {
+            thread.join();
+        }
+        return failures_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::string failures_;
+    std::vector<std::thread> threads_;
+};
+
+auto namesHost(Caller &caller, const std::vector<std::string> &lookupHosts, const std::string &address) -> bool
+{
+    auto isNamed = false;
+    for (const auto &host : lookupHosts) {
+        for (const auto &named : lookUp(caller, host)) {
+            isNamed = isNamed || named == address;
+        }
+    }
+    return isNamed;
+}
+
+}
+
+// Guards against a planned stop that cuts off requests in flight or callers that still hold a lookup answer, against a second SIGTERM that ends the
+// process at once, and against lookups that keep naming a leaving host.
+TEST_CASE("a planned stop interrupts no request, whatever the number of stop signals")
+{
+    for (const auto stopSignals : { 1, 3 }) {
+        CAPTURE(stopSignals);
+        auto deployment = Deployment(stopSettings());
+        auto caller = Caller {};
+        auto &leaving = deployment.host("r1-2-h1");
+        const auto lookupHosts = std::vector<std::string> { deployment.host("r1-1-h1").address_, deployment.host("r1-3-h1").address_ };
+        auto callers = CachingCallers(caller, lookupHosts);
+        std::this_thread::sleep_for(warmUpTime);
+        CHECK(namesHost(caller, lookupHosts, leaving.address_));
+        auto atSignal = LongRequests(caller, leaving.address_);
+        std::this_thread::sleep_for(warmUpTime / 4);
+        const auto sentBefore = callers.sentTo(leaving.address_);
+        CHECK(sentBefore > 0);
+
+        leaving.process_->terminate();
+        const auto signalledAt = Clock::now();
+        for (auto number = 1; number < stopSignals; ++number) {
+            std::this_thread::sleep_for(warmUpTime / 4);
+            leaving.process_->terminate();
+        }
+        // These begin within the lookup lifetime and are in flight when the listener closes.
+        std::this_thread::sleep_until(signalledAt + lookupLifetime - std::chrono::milliseconds(100));
+        auto atEnd = LongRequests(caller, leaving.address_);
+        std::this_thread::sleep_until(signalledAt + lookupBound);
+        CHECK_FALSE(namesHost(caller, lookupHosts, leaving.address_));
+
+        CHECK(atSignal.waitForFailures() == "");
+        CHECK(atEnd.waitForFailures() == "");
+        const auto exitCode = leaving.process_->waitForExit(exitLimit);
+        CAPTURE(leaving.process_->errorOutput());
+        REQUIRE(exitCode.has_value());
+        CHECK(*exitCode == 0);
+        callers.stop();
+        CHECK(callers.sentTo(leaving.address_) > sentBefore);
+        CHECK(callers.failures() == "");
+        CHECK(findViolations(deployment, caller.records(), {}) == "");
+    }
+}
