--- /dev/null
+++ b/bench/exchangecost.cpp
@@ -0,0 +1,187 @@
+/** Measures the processor time and bytes of an exchange, and the memory per known peer, at several numbers of peers. */
+#include "connection/peerclients.h"
+#include "core/clock.h"
+#include "core/digest.h"
+#include "process/membership.h"
+#include "process/peerserver.h"
+
+#include <absl/time/clock.h>
+#include <docopt/docopt.h>
+#include <fmt/format.h>
+
+#include <ctime>
+#include <malloc.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace lycheecleat;
+
+namespace
+{
+
+constexpr auto usage = R"(Measures exchanges between daemons.
+
+Usage:
+  exchangecost [--seconds N] [--first-block N]
+
+Options:
+  --seconds N      Measured time of each size [default: 5].
+  --first-block N  Peers listen on 127.N.x.y [default: 60].
+)";
+
+constexpr auto peerPort = 19200;
+constexpr auto hostsPerSubnet = 200;
+constexpr auto warmUp = absl::Seconds(2);
+constexpr auto digestBytes = 32;
+constexpr auto designPeers = std::size_t { 3099 };
+
+auto stateOf(const std::string &name) -> peer::HostState
+{
+    auto state = peer::HostState {};
+    state.name = name;
+    state.run = randomHex(8);
+    state.zone = "region-01-zone-a";
+    state.revision = 123456;
+    state.digest = randomHex(digestBytes);
+    state.knowledgeAgeMicros = 500000;
+    state.storeReachable = true;
+    state.peerAddress = "127.0.0.1:19200";
+    return state;
+}
+
+auto hostOf(int block, int index) -> EntryHost
+{
+    const auto ip = fmt::format("127.{}.{}.{}", block, index / hostsPerSubnet, index % hostsPerSubnet + 1);
+    return EntryHost { fmt::format("region-01-zone-a-h{}", index), "region-01-zone-a", ip + ":80", fmt::format("{}:{}", ip, peerPort) };
+}
+
+auto hostsOf(int block, int count) -> std::vector<EntryHost>
+{
+    auto hosts = std::vector<EntryHost> {};
+    for (auto index = 0; index < count; ++index) {
+        hosts.push_back(hostOf(block, index));
+    }
+    return hosts;
+}
+
+auto servicesOf(const std::string &name, PeerClients &clients) -> MembershipServices
+{
+    return { name,
+             &clients,
+             [state = stateOf(name)] {
+                 return state;
+             },
+             [](const PeerNews &) {} };
+}
+
+/** A peer that does with an exchange what a daemon does: it notes the sender and answers with its own state. */
+class AnsweringPeer : public peer::PeerNull
+{
+public:
+    AnsweringPeer(std::string name, Membership &membership)
+        : state_(stateOf(name))
+        , membership_(membership)
+    {
+    }
+
+    auto exchange(peer::HostState &reply, const peer::HostState &sender) -> void override
+    {
+        membership_.receive(monotonicNow(), sender);
+        reply = state_;
+    }
+
+private:
+    peer::HostState state_;
+    Membership &membership_;
+};
+
+/** Bytes in use on the heap, with those of large blocks that have a mapping of their own. */
+auto heapBytes() -> std::size_t
+{
+    const auto use = mallinfo2();
+    return use.uordblks + use.hblkhd;
+}
+
+auto processTime() -> absl::Duration
+{
+    auto time = timespec {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return absl::DurationFromTimespec(time);
+}
+
+/** Heap bytes of a membership for each peer that it has heard. */
+auto memoryPerPeer(int count) -> double
+{
+    auto clients = PeerClients();
+    auto membership = Membership(servicesOf("own", clients));
+    const auto before = heapBytes();
+    const auto hosts = hostsOf(1, count);
+    membership.setHosts(monotonicNow(), hosts);
+    for (const auto &host : hosts) {
+        membership.receive(monotonicNow(), stateOf(host.name_));
+    }
+    return static_cast<double>(heapBytes() - before) / count;
+}
+
+auto measure(int count, int block, absl::Duration time) -> void
+{
+    auto clients = PeerClients();
+    // Both see all peers, as daemons do: the cost of an exchange may depend on their number.
+    auto own = Membership(servicesOf("own", clients));
+    auto answering = Membership(servicesOf("answering", clients));
+    const auto hosts = hostsOf(block, count);
+    auto senders = hosts;
+    senders.push_back(EntryHost { "own", "region-01-zone-a", "127.0.0.1:80", "127.0.0.1:81" });
+    answering.setHosts(monotonicNow(), senders);
+    auto servers = std::vector<std::unique_ptr<PeerServer>> {};
+    for (const auto &host : hosts) {
+        servers.push_back(std::make_unique<PeerServer>(host.peer_, std::make_shared<AnsweringPeer>(host.name_, answering)));
+        servers.back()->start().value();
+    }
+    own.setHosts(monotonicNow(), hosts);
+    own.start();
+    absl::SleepFor(warmUp + exchangeIntervalFor(static_cast<std::size_t>(count)));
+    const auto trafficBefore = clients.traffic();
+    const auto sendingBefore = own.processorTime();
+    const auto allBefore = processTime();
+    absl::SleepFor(time);
+    const auto all = processTime() - allBefore;
+    const auto sending = own.processorTime() - sendingBefore;
+    const auto traffic = clients.traffic();
+    own.stop();
+    const auto failures = traffic.failures_.count("exchange") > 0 ? traffic.failures_.at("exchange") : 0;
+    const auto exchanges = static_cast<double>(traffic.calls_.at("exchange") - trafficBefore.calls_.at("exchange"));
+    fmt::print("peers={} exchanges_per_s={:.1f} failures={} sending_us={:.1f} answering_us={:.1f} bytes_sent={:.0f} bytes_received={:.0f} "
+               "core_percent_both_roles={:.3f} bytes_per_s_both_roles={:.0f} interval_s={:.2f} liveness_s={:.1f} heap_bytes_per_peer={:.0f}\n",
+               count,
+               exchanges / absl::ToDoubleSeconds(time),
+               failures,
+               absl::ToDoubleMicroseconds(sending) / exchanges,
+               absl::ToDoubleMicroseconds(all - sending) / exchanges,
+               static_cast<double>(traffic.bytesSent_ - trafficBefore.bytesSent_) / exchanges,
+               static_cast<double>(traffic.bytesReceived_ - trafficBefore.bytesReceived_) / exchanges,
+               absl::FDivDuration(all, time) * 100,
+               static_cast<double>(traffic.bytesSent_ + traffic.bytesReceived_ - trafficBefore.bytesSent_ - trafficBefore.bytesReceived_) * 2
+                   / absl::ToDoubleSeconds(time),
+               absl::ToDoubleSeconds(exchangeIntervalFor(static_cast<std::size_t>(count))),
+               absl::ToDoubleSeconds(std::max(livenessTimeout, 4 * exchangeIntervalFor(static_cast<std::size_t>(count)))),
+               memoryPerPeer(count));
+}
+
+}
+
+auto main(int argumentCount, char **arguments) -> int
+{
+    const auto options = docopt::docopt(usage, { arguments + 1, arguments + argumentCount });
+    const auto time = absl::Seconds(options.at("--seconds").asLong());
+    auto block = static_cast<int>(options.at("--first-block").asLong());
+    for (const auto count : { 16, 64, 256 }) {
+        measure(count, block++, time);
+    }
+    fmt::print("design_peers={} interval_s={:.1f} heap_bytes_per_peer={:.0f}\n",
+               designPeers,
+               absl::ToDoubleSeconds(exchangeIntervalFor(designPeers)),
+               memoryPerPeer(static_cast<int>(designPeers)));
+    return 0;
+}
