--- a/libraries/request/lookup.cpp
+++ b/libraries/request/lookup.cpp
@@ -17,13 +17,14 @@
     return available.count(host.name_) > 0;
 }
 
-auto availableOf(const std::vector<EntryHost> &hosts, const AvailableHosts &available) -> std::vector<EntryHost>
+/** Hosts to choose from. Pointers, since copying all hosts of a large region takes longer than the rest of a lookup. */
+using Candidates = std::vector<const EntryHost *>;
+
+auto addTo(Candidates &candidates, const std::vector<EntryHost> &hosts) -> void
 {
-    auto chosen = std::vector<EntryHost> {};
-    std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(chosen), [&](const EntryHost &host) {
-        return isAvailable(available, host);
-    });
-    return chosen;
+    for (const auto &host : hosts) {
+        candidates.push_back(&host);
+    }
 }
 
 auto hostsOfOrganisation(const LookupTable &table, const AvailableHosts &available, const LookupQuestion &question) -> std::vector<EntryHost>
@@ -41,27 +42,43 @@
     return hosts;
 }
 
-auto hostsOfRegion(const LookupTable &table, const AvailableHosts &available, const std::string &region) -> std::vector<EntryHost>
+auto hostsOfRegion(const LookupTable &table, const std::string &region) -> Candidates
 {
+    auto candidates = Candidates {};
     const auto found = table.hosts_.find(region);
-    return found == table.hosts_.end() ? std::vector<EntryHost> {} : availableOf(found->second, available);
+    if (found != table.hosts_.end()) {
+        addTo(candidates, found->second);
+    }
+    return candidates;
 }
 
-auto hostsOfAllRegions(const LookupTable &table, const AvailableHosts &available) -> std::vector<EntryHost>
+auto hostsOfAllRegions(const LookupTable &table) -> Candidates
 {
-    auto hosts = std::vector<EntryHost> {};
+    auto candidates = Candidates {};
     for (const auto &[region, declared] : table.hosts_) {
-        const auto chosen = availableOf(declared, available);
-        hosts.insert(hosts.end(), chosen.begin(), chosen.end());
+        addTo(candidates, declared);
     }
-    return hosts;
+    return candidates;
 }
 
-auto decisionOf(LookupReason reason, std::vector<EntryHost> hosts, const AvailableHosts &available, std::uint64_t seed) -> LookupDecision
+// Draws candidates at random, without replacement, until enough of them are available.
+auto drawAvailable(Candidates candidates, const AvailableHosts &available, std::uint64_t seed) -> std::vector<EntryHost>
 {
     auto generator = std::mt19937_64(seed);
-    std::shuffle(hosts.begin(), hosts.end(), generator);
-    hosts.resize(std::min(hosts.size(), maximumLookupHosts));
+    auto drawn = std::vector<EntryHost> {};
+    while (!candidates.empty() && drawn.size() < maximumLookupHosts) {
+        const auto index = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(generator);
+        std::swap(candidates[index], candidates.back());
+        if (isAvailable(available, *candidates.back())) {
+            drawn.push_back(*candidates.back());
+        }
+        candidates.pop_back();
+    }
+    return drawn;
+}
+
+auto decisionOf(LookupReason reason, std::vector<EntryHost> hosts, const AvailableHosts &available) -> LookupDecision
+{
     const auto &run = available.at(hosts.front().name_);
     return LookupDecision { reason, std::move(hosts), run };
 }
@@ -124,17 +141,20 @@
 
 auto decideLookup(const LookupTable &table, const AvailableHosts &available, const LookupQuestion &question) -> LookupDecision
 {
-    auto hosts = hostsOfOrganisation(table, available, question);
+    const auto declared = hostsOfOrganisation(table, available, question);
+    auto candidates = Candidates {};
+    addTo(candidates, declared);
+    auto hosts = drawAvailable(std::move(candidates), available, question.seed_);
     if (!hosts.empty()) {
-        return decisionOf(LookupReason::Organisation, std::move(hosts), available, question.seed_);
+        return decisionOf(LookupReason::Organisation, std::move(hosts), available);
     }
-    hosts = hostsOfRegion(table, available, question.region_);
+    hosts = drawAvailable(hostsOfRegion(table, question.region_), available, question.seed_);
     if (!hosts.empty()) {
-        return decisionOf(LookupReason::Region, std::move(hosts), available, question.seed_);
+        return decisionOf(LookupReason::Region, std::move(hosts), available);
     }
-    hosts = hostsOfAllRegions(table, available);
+    hosts = drawAvailable(hostsOfAllRegions(table), available, question.seed_);
     if (!hosts.empty()) {
-        return decisionOf(LookupReason::OtherRegion, std::move(hosts), available, question.seed_);
+        return decisionOf(LookupReason::OtherRegion, std::move(hosts), available);
     }
     return {};
 }
