--- a/bench/exchangecost.cpp
+++ b/bench/exchangecost.cpp
@@ -79,7 +79,7 @@
 class AnsweringPeer : public peer::PeerNull
 {
 public:
-    AnsweringPeer(std::string name, Membership &membership)
+    AnsweringPeer(const std::string &name, Membership &membership)
         : state_(stateOf(name))
         , membership_(membership)
     {
