Retry on a new connection and see crashes on idle ones

A retry took a pooled connection of the next server. When all pooled connections had become unresponsive, it ended at the deadline although new connections worked. The retry now opens its own connection.

A connection that ended after more than 1 s of idleness was never counted as a crash, so a request that ends its servers was resent without limit. The host now asks whether the server still takes connections before it excuses the end.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -189,7 +189,7 @@
 
 auto BackendPool::exchange(const BackendCall &call, const RequestContent &request) -> BackendExchange
 {
-    auto idle = takeIdle(call);
+    auto idle = call.needsNewConnection_ ? std::nullopt : takeIdle(call);
     const auto reused = idle.has_value();
     const auto idleFor = reused ? monotonicNow() - idle->idleSince_ : absl::ZeroDuration();
     if (!idle) {
@@ -235,6 +235,14 @@
     return std::move(received.exchange_);
 }
 
+auto BackendPool::isAccepting(const std::string &address) const -> bool
+{
+    const auto connected = attempt([&] {
+        return TcpConnection::connect(address, monotonicNow() + settings_.connectTimeout_);
+    });
+    return !std::holds_alternative<Error>(connected);
+}
+
 auto BackendPool::closeIdle(const std::string &address) -> void
 {
     auto closed = std::vector<IdleConnection> {};
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -50,6 +50,8 @@
     bool repeatable_ = false;
     /** Longest wait for the first byte of the response on a connection that was used before. */
     absl::Duration firstByteLimit_ = absl::InfiniteDuration();
+    /** Leaves pooled connections out: what made one of them unresponsive may have done the same to all. */
+    bool needsNewConnection_ = false;
 };
 
 /** The result of an exchange. */
@@ -89,6 +91,9 @@
     /** Sends a request and receives its response. After any failure the connection is closed. */
     [[nodiscard]] auto exchange(const BackendCall &call, const RequestContent &request) -> BackendExchange;
 
+    /** Whether a backend server takes a new connection, which is closed at once. */
+    [[nodiscard]] auto isAccepting(const std::string &address) const -> bool;
+
     /** Closes the idle connections to a backend server. */
     auto closeIdle(const std::string &address) -> void;
 
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -258,6 +258,7 @@
     auto call = BackendCall { backend.address_, std::min(run.request_.deadline_, grant.deadline_), run.request_.repeatable_ };
     if (run.request_.repeatable_) {
         call.firstByteLimit_ = (call.deadline_ - monotonicNow()) * firstByteShare;
+        call.needsNewConnection_ = run.isRetried_;
     }
     auto exchange = connections_.exchange(call, run.request_.content_);
     const auto certainlyEnded = exchange.status_ == ExchangeStatus::Whole || exchange.status_ == ExchangeStatus::NotSent;
@@ -275,8 +276,8 @@
         connections_.closeIdle(backend.address_);
     }
     const auto now = monotonicNow();
-    // A server that closes an idle connection at the moment of its reuse has not crashed.
-    const auto isCrash = exchange.status_ == ExchangeStatus::Ended && !exchange.wasIdleForLong_;
+    // A server that closes an idle connection at the moment of its reuse has not crashed, and takes new connections.
+    const auto isCrash = exchange.status_ == ExchangeStatus::Ended && (!exchange.wasIdleForLong_ || !connections_.isAccepting(backend.address_));
     const auto fingerprint = isCrash ? fingerprintOf(run.request_) : std::string {};
     const auto lock = absl::MutexLock(&mutex_);
     health_.note(now, backend.name_, healthSignOf(exchange));
--- /dev/null
+++ b/tests/integration/crashsuspecttest.cpp
@@ -0,0 +1,127 @@
+#include "support/caller.h"
+#include "support/deployment.h"
+#include "support/invariants.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace integration;
+
+namespace
+{
+
+constexpr auto statusOk = 200;
+/** Time in which the second death is known to every host. */
+constexpr auto spreadLimit = std::chrono::seconds { 2 };
+constexpr auto warmLimit = std::chrono::seconds { 10 };
+constexpr auto suspectDeaths = 2;
+/** As many as the slots that a host has at the three backend servers of its zone. */
+constexpr auto warmRequests = 12;
+
+struct CrashCase
+{
+    std::string name_;
+    std::string method_;
+    std::string path_;
+    /** How long the connections have been idle when the request comes; 0: there are none. */
+    std::chrono::milliseconds idle_ {};
+};
+
+auto crashRequest(const CrashCase &crashCase, const std::string &key) -> CallerRequest
+{
+    auto request = CallerRequest {};
+    request.testId_ = makeTestId();
+    request.method_ = crashCase.method_;
+    request.path_ = crashCase.path_;
+    request.key_ = key;
+    request.idempotencyKey_ = crashCase.method_ == "POST" ? request.testId_ : "";
+    request.mustRunOnce_ = crashCase.method_ == "POST";
+    request.headers_ = { { "X-Test-Crash", "1" } };
+    return request;
+}
+
+auto countDead(Deployment &deployment) -> int
+{
+    auto dead = 0;
+    for (auto &backend : deployment.backends()) {
+        dead += backend.process_->isRunning() ? 0 : 1;
+    }
+    return dead;
+}
+
+/** Opens connections from every host to the backend servers of its zone. */
+auto warmPools(Deployment &deployment, Caller &caller, const std::string &key) -> void
+{
+    auto threads = std::vector<std::thread> {};
+    for (const auto &host : deployment.hosts()) {
+        for (auto number = 0; number < warmRequests; ++number) {
+            threads.emplace_back([&] {
+                auto request = CallerRequest {};
+                request.path_ = "/warm";
+                request.key_ = key;
+                request.headers_ = { { "X-Test-Service-Ms", "100" } };
+                // A host that has just started borrows its first rate shares from others.
+                const auto deadline = std::chrono::steady_clock::now() + warmLimit;
+                auto status = caller.send(host.address_, request).status_;
+                while (status != statusOk && std::chrono::steady_clock::now() < deadline) {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                    status = caller.send(host.address_, request).status_;
+                }
+                CHECK(status == statusOk);
+            });
+        }
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+}
+
+}
+
+// Guards against one request that ends the backend servers one after the other while its caller resends it through different hosts.
+TEST_CASE("a request that has ended two backend servers is refused everywhere")
+{
+    const auto cases = std::vector<CrashCase> {
+        { "not repeatable", "POST", "/once/crash", {} },
+        { "repeatable", "GET", "/dives/crash", {} },
+        { "repeatable on connections idle for a while", "GET", "/dives/crash", std::chrono::milliseconds(1500) },
+    };
+    auto settings = DeploymentSettings {};
+    settings.hostsPerZone_ = 2;
+    settings.backendsPerZone_ = 3;
+    for (const auto &crashCase : cases) {
+        auto deployment = Deployment(settings);
+        const auto key = deployment.grantKey("alpha").key_;
+        deployment.waitUntilAccepted(key);
+        auto caller = Caller {};
+        CAPTURE(crashCase.name_);
+        if (crashCase.idle_.count() > 0) {
+            warmPools(deployment, caller, key);
+            std::this_thread::sleep_for(crashCase.idle_);
+        }
+        for (auto &host : deployment.hosts()) {
+            if (countDead(deployment) < suspectDeaths) {
+                CHECK(caller.send(host.address_, crashRequest(crashCase, key)).outcome_ == "unknown");
+                // The end of the process is seen shortly after its connection has ended.
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            }
+        }
+        CHECK(countDead(deployment) == suspectDeaths);
+        std::this_thread::sleep_for(spreadLimit);
+        for (auto repetition = 0; repetition < 2; ++repetition) {
+            for (auto &host : deployment.hosts()) {
+                const auto answer = caller.send(host.address_, crashRequest(crashCase, key));
+                CAPTURE(host.name_);
+                CAPTURE(answer.body_);
+                CHECK(answer.reason_ == "crash_suspect");
+                CHECK(answer.outcome_ == "not-run");
+            }
+        }
+        CHECK(countDead(deployment) == suspectDeaths);
+        CHECK(findViolations(deployment, caller.records(), { key }) == "");
+    }
+}
--- /dev/null
+++ b/tests/integration/silentconnectiontest.cpp
@@ -0,0 +1,103 @@
+#include "support/caller.h"
+#include "support/deployment.h"
+#include "support/invariants.h"
+#include "support/scenario.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace integration;
+
+namespace
+{
+
+constexpr auto statusOk = 200;
+/** Enough requests at once to open connections to every backend server of the zone. */
+constexpr auto warmRequests = 12;
+/** Fewer than the retries that a host has saved up. */
+constexpr auto parallelRequests = 4;
+
+auto requestTo(const std::string &path, const std::string &key) -> CallerRequest
+{
+    auto request = CallerRequest {};
+    request.testId_ = makeTestId();
+    request.path_ = path + request.testId_;
+    request.key_ = key;
+    return request;
+}
+
+auto sendInParallel(Caller &caller, const TestHost &host, const std::vector<CallerRequest> &requests) -> std::vector<CallerAnswer>
+{
+    auto answers = std::vector<CallerAnswer>(requests.size());
+    auto threads = std::vector<std::thread> {};
+    for (auto index = std::size_t { 0 }; index < requests.size(); ++index) {
+        threads.emplace_back([&, index] {
+            answers[index] = caller.send(host.address_, requests[index]);
+        });
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    return answers;
+}
+
+/** Fills the pools of a host with connections, which are all unresponsive afterwards. */
+auto silencePools(Deployment &deployment, Caller &caller, const TestHost &host, const std::string &key) -> void
+{
+    auto requests = std::vector<CallerRequest> {};
+    for (auto number = 0; number < warmRequests; ++number) {
+        requests.push_back(requestTo("/warm/", key));
+        requests.back().headers_ = { { "X-Test-Service-Ms", "100" } };
+    }
+    for (const auto &answer : sendInParallel(caller, host, requests)) {
+        CHECK(answer.status_ == statusOk);
+    }
+    deployment.injectFault("silence", { "backend-*" }, nlohmann::json::object(), { host.name_ });
+}
+
+}
+
+// Guards against a retry that takes another pooled connection of the same age, which is as unresponsive as the first.
+TEST_CASE("requests survive pooled connections that became unresponsive")
+{
+    auto settings = DeploymentSettings {};
+    settings.backendsPerZone_ = 2;
+    settings.proxied_ = true;
+    auto deployment = Deployment(settings);
+    const auto key = deployment.grantKey("alpha").key_;
+    deployment.waitUntilAccepted(key);
+    auto caller = Caller {};
+    for (const auto &host : deployment.hosts()) {
+        CAPTURE(host.name_);
+        silencePools(deployment, caller, host, key);
+        auto repeatable = std::vector<CallerRequest> {};
+        for (auto number = 0; number < parallelRequests; ++number) {
+            repeatable.push_back(requestTo("/dives/", key));
+        }
+        for (const auto &answer : sendInParallel(caller, host, repeatable)) {
+            CAPTURE(answer.reason_);
+            CHECK(answer.status_ == statusOk);
+        }
+        silencePools(deployment, caller, host, key);
+        auto once = std::vector<CallerRequest> {};
+        for (auto number = 0; number < parallelRequests; ++number) {
+            once.push_back(requestTo("/once/bookings/", key));
+            once.back().method_ = "POST";
+            once.back().idempotencyKey_ = once.back().testId_;
+            once.back().mustRunOnce_ = true;
+        }
+        for (const auto &answer : sendInParallel(caller, host, once)) {
+            CAPTURE(answer.reason_);
+            CHECK((answer.outcome_ == "ran" || answer.outcome_ == "unknown"));
+        }
+        for (const auto &request : once) {
+            CHECK(executionsOf(deployment, request.testId_) <= 1);
+        }
+    }
+    CHECK(findViolations(deployment, caller.records(), { key }) == "");
+}
