Answer resends from their claim and test requests under faults

A request on a route that is not repeatable, resent to a host that refused it for its rate, its slots or as a crash suspect, was called "not run" although it had run, or was running, under another host's claim. Such a refusal now reads the claim first, at most 20 times a second on a host.

--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -13,10 +13,13 @@
 #include "request/runtoken.h"
 #include "version/routetable.h"
 
+#include <absl/base/thread_annotations.h>
 #include <absl/strings/numbers.h>
+#include <absl/synchronization/mutex.h>
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <optional>
 #include <utility>
@@ -42,6 +45,10 @@
 // The store keeps these keys for longer; the host's own table saves store calls for quick resends.
 constexpr auto claimRetention = absl::Minutes(10);
 
+// Refused requests read their claims at most this often on one host, so that a flood of them leaves the store to others: 18 hosts make 360 reads a
+// second of the store's two thousand. A refusal beyond that says "not run" of this sending only.
+constexpr auto maximumClaimReadsPerSecond = 20;
+
 constexpr auto retryAfterSeconds = "1";
 
 /** Everything that becomes known about one request on its way. */
@@ -180,6 +187,14 @@
     return Refusal::ClaimUnavailable;
 }
 
+// Whether a request was refused as not run before its key was claimed. It may still have run through another host, under that host's claim.
+auto isRefusedUnclaimed(const Served &served) -> bool
+{
+    constexpr auto reasons = std::array { Refusal::RateExceeded, Refusal::NoCapacity, Refusal::CrashSuspect, Refusal::Overloaded };
+    const auto *refusal = std::get_if<Refusal>(&served);
+    return refusal != nullptr && std::find(reasons.begin(), reasons.end(), *refusal) != reasons.end();
+}
+
 auto logLevelOf(const Refusal *refusal) -> LogLevel
 {
     return refusal != nullptr && describeRefusal(*refusal).outcome_ == Outcome::Unknown ? LogLevel::Warning : LogLevel::Info;
@@ -198,6 +213,7 @@
     auto serveOnce(RequestState &state) -> Served;
     auto serveTokened(RequestState &state, const IdempotencyKey &key) -> Served;
     auto serveClaimed(RequestState &state, const IdempotencyKey &key) -> Served;
+    auto mayReadClaim() -> bool;
     auto forward(RequestState &state, const RunToken &token) -> Served;
     auto runOnce(RequestState &state, const OnceRequest &once, std::function<std::optional<Served>()> beforeSend) -> Served;
     auto run(RequestState &state, std::function<std::optional<Served>()> beforeSend) -> Served;
@@ -213,6 +229,10 @@
     std::atomic<std::uint64_t> requestCount_ = 0;
     std::atomic<std::int64_t> latestWallMicros_ = 0;
     std::atomic<int> inFlight_ = 0;
+    absl::Mutex claimReadsMutex_;
+    /** Start of the current second of claim readings, and how many it has had. */
+    absl::Time claimReadsSince_ ABSL_GUARDED_BY(claimReadsMutex_) = absl::InfinitePast();
+    int claimReads_ ABSL_GUARDED_BY(claimReadsMutex_) = 0;
 };
 
 RequestHandler::State::State(RequestServices services)
@@ -354,11 +374,17 @@
     const auto claimId = fmt::format("{}.{}.{}", services_.hostName_, services_.run_, state.requestId_);
     auto claim = Claim { claimKey(state.organisation_, key.text_), claimId, digest };
     auto isClaimed = false;
+    auto isAttempted = false;
     auto served = runOnce(state, once, [&]() -> std::optional<Served> {
+        isAttempted = true;
         const auto result = claimInStore(*services_.store_, claim);
         isClaimed = result.status_ == ClaimStatus::Claimed;
         return endOf(result, state);
     });
+    if (!isAttempted && isRefusedUnclaimed(served) && mayReadClaim()) {
+        const auto found = findInStore(*services_.store_, claim);
+        return found ? endOf(*found, state).value_or(std::move(served)) : std::move(served);
+    }
     if (!isClaimed) {
         return served;
     }
@@ -370,6 +396,18 @@
     return served;
 }
 
+auto RequestHandler::State::mayReadClaim() -> bool
+{
+    const auto now = monotonicNow();
+    const auto lock = absl::MutexLock(&claimReadsMutex_);
+    if (now - claimReadsSince_ >= absl::Seconds(1)) {
+        claimReadsSince_ = now;
+        claimReads_ = 0;
+    }
+    claimReads_ += 1;
+    return claimReads_ <= maximumClaimReadsPerSecond;
+}
+
 auto RequestHandler::State::forward(RequestState &state, const RunToken &token) -> Served
 {
     const auto *host = findByName(state.configuration_->entryHosts_, token.host_);
--- a/libraries/process/storeclaims.cpp
+++ b/libraries/process/storeclaims.cpp
@@ -104,6 +104,22 @@
     return judgeEntry(claim, second->entry_);
 }
 
+auto findInStore(StoreClient &store, Claim &claim) -> std::optional<ClaimResult>
+{
+    const auto read = attempt([&] {
+        return store.get(claim.storeKey_);
+    });
+    const auto *entry = std::get_if<StoreEntry>(&read);
+    if (entry == nullptr || entry->version_ == 0) {
+        return std::nullopt;
+    }
+    const auto record = parseClaim(entry->value_);
+    if (record && record->state_ == ClaimState::Released) {
+        return std::nullopt;
+    }
+    return judgeEntry(claim, *entry);
+}
+
 auto releaseInStore(StoreClient &store, const Claim &claim) -> void
 {
     static_cast<void>(swap(store, claim, claim.version_, recordOf(claim, ClaimState::Released)));
--- /dev/null
+++ b/tests/integration/claimfaulttest.cpp
@@ -0,0 +1,104 @@
+#include "support/caller.h"
+#include "support/controlcall.h"
+#include "support/deployment.h"
+#include "support/invariants.h"
+#include "support/scenario.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+using namespace integration;
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+struct ClaimFaultCase
+{
+    std::string name_;
+    /** The fault is on the connections from the host to the store; otherwise in the store. */
+    bool isOnLink_ = false;
+    std::string control_;
+    Json on_;
+    Json off_;
+    std::string outcome_;
+    /** The claim did not reach the store, so the caller can make the request later. */
+    bool runsWhenResent_ = false;
+};
+
+auto bookingRequest(const std::string &key) -> CallerRequest
+{
+    auto request = CallerRequest {};
+    request.testId_ = makeTestId();
+    request.method_ = "POST";
+    request.path_ = "/once/bookings";
+    request.key_ = key;
+    request.idempotencyKey_ = request.testId_;
+    request.mustRunOnce_ = true;
+    return request;
+}
+
+auto setFault(Deployment &deployment, const TestHost &host, const ClaimFaultCase &faultCase, const Json &body) -> void
+{
+    if (faultCase.isOnLink_) {
+        deployment.injectFault(faultCase.control_, { "store-" + host.name_ }, body);
+    } else {
+        postControl(deployment.storeAddress(), "/control/" + faultCase.control_, body);
+    }
+}
+
+}
+
+// Guards against a dispatch without a certain claim, and against "not-run" for a request that ran under a claim whose reply was lost.
+TEST_CASE("a request is called not run exactly when its claim failed and nothing ran")
+{
+    const auto lost = [](int count) {
+        return Json { { "count", count } };
+    };
+    const auto cases = std::vector<ClaimFaultCase> {
+        { "no fault", false, "lose-replies", lost(0), lost(0), "ran", true },
+        { "outage", false, "outage", { { "on", true } }, { { "on", false } }, "not-run", true },
+        { "one reply lost", false, "lose-replies", lost(1), lost(0), "ran", true },
+        { "all replies to writes lost", false, "lose-replies", lost(1000), lost(0), "ran", true },
+        { "slower than the deadline", false, "slow", { { "delay_ms", 3000 } }, { { "delay_ms", 0 } }, "not-run", false },
+        // The claim is in the store, so its key stays claimed although nothing ran.
+        { "replies to the claim and to its reading lost", true, "drop-replies", { { "on", true } }, { { "on", false } }, "not-run", false },
+        // The claim reaches the store after the host has given up.
+        { "claim held back", true, "freeze", { { "on", true } }, { { "on", false } }, "not-run", false },
+        { "link cut", true, "cut", { { "on", true } }, { { "on", false } }, "not-run", true },
+    };
+    auto settings = DeploymentSettings {};
+    settings.proxied_ = true;
+    auto deployment = Deployment(settings);
+    const auto key = deployment.grantKey("alpha").key_;
+    auto caller = Caller {};
+    for (const auto &faultCase : cases) {
+        for (auto &host : deployment.hosts()) {
+            CAPTURE(faultCase.name_);
+            CAPTURE(host.name_);
+            deployment.waitUntilAccepted(key, std::chrono::seconds(20));
+            const auto request = bookingRequest(key);
+            setFault(deployment, host, faultCase, faultCase.on_);
+            const auto answer = caller.send(host.address_, request);
+            const auto executionsBefore = executionsOf(deployment, request.testId_);
+            setFault(deployment, host, faultCase, faultCase.off_);
+            CAPTURE(answer.body_);
+            CAPTURE(answer.error_);
+            CHECK((answer.outcome_ == "not-run") == (executionsBefore == 0));
+            CHECK(answer.outcome_ == faultCase.outcome_);
+            for (const auto &other : deployment.hosts()) {
+                const auto hadRun = executionsOf(deployment, request.testId_) > 0;
+                const auto resent = caller.send(other.address_, request);
+                CAPTURE(resent.body_);
+                CHECK((!hadRun || resent.outcome_ == "ran"));
+            }
+            CHECK(executionsOf(deployment, request.testId_) <= 1);
+            CHECK((!faultCase.runsWhenResent_ || executionsOf(deployment, request.testId_) == 1));
+        }
+    }
+    CHECK(findViolations(deployment, caller.records(), { key }) == "");
+}
