Keep a shift's cap when requests wait for slots

A request took a token of the cap and then waited for a slot of the target region for up to 0.8 of its time, so the requests that waited while that region was busy all ran at once when slots came free. A token older than 20 ms is now replaced when the slot is there, or the request stays.

--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -26,6 +26,9 @@
 /** The part of the remaining time after which a connection used before counts as silent; the rest is left for the retry. */
 constexpr auto firstByteShare = 0.5;
 
+/** Longest wait for a slot with a token of a shift's cap. Tokens taken over this time may be used at once. */
+constexpr auto longestTokenAge = absl::Milliseconds(20);
+
 /** Bounds the memory of crash records under many different failing requests. */
 constexpr auto maximumCrashRecords = std::size_t { 1000 };
 
@@ -208,7 +211,15 @@
         return std::nullopt;
     }
     const auto slotRequest = SlotRequest { run.pool_.name_, run.request_.organisation_, choice.region_, excluded, run.request_.deadline_, waitUntil };
-    return shares_->takeSlot(now, slotRequest);
+    auto grant = shares_->takeSlot(now, slotRequest);
+    const auto grantedAt = monotonicNow();
+    // Requests that waited with a token would all run at once when slots come free, far above the cap, so the token has to be recent.
+    const auto isOld = choice.shift_ != nullptr && grantedAt - now > longestTokenAge;
+    if (grant && isOld && !shares_->takeToken(grantedAt, shiftLimit(choice.shift_->name_))) {
+        shares_->returnSlot(monotonicNow(), *grant, true);
+        return std::nullopt;
+    }
+    return grant;
 }
 
 // The servers to leave out. Those that are only better left out are used when no others remain.
