--- /dev/null
+++ b/tests/integration/performancetest.cpp
@@ -0,0 +1,76 @@
+#include "support/deployment.h"
+#include "support/measurement.h"
+
+#include <absl/time/time.h>
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace integration;
+
+namespace
+{
+
+constexpr auto lookupPath = "/.well-known/lycheecleat/lookup";
+
+/** Options of the load client. */
+auto loadOf(const std::string &path, int rate, int seconds) -> std::vector<std::string>
+{
+    return { "--path", path, "--rate", std::to_string(rate), "--seconds", std::to_string(seconds), "--threads", "8" };
+}
+
+}
+
+// Guards against lookups that take more processor time than the stated target of 50 microseconds. Processor time does not count the time in which
+// other programs run.
+TEST_CASE("a lookup takes under 50 microseconds of processor time")
+{
+    constexpr auto target = absl::Microseconds(50);
+    constexpr auto rate = 2000;
+    constexpr auto seconds = 3;
+    auto deployment = Deployment(DeploymentSettings {});
+    const auto &host = deployment.hosts().front();
+    const auto report = runLoad(deployment, host.address_, host.process_->pid(), loadOf(lookupPath, rate, seconds));
+    CAPTURE(report.client_.dump());
+    REQUIRE(report.served() == rate * seconds);
+    CHECK(report.processorTime_ / report.served() < target);
+}
+
+// Guards against a request path that adds milliseconds, for example by a connection per request or a delayed acknowledgement (40 ms). The bound is ten
+// times the target for an idle machine, over the direct path of the same run.
+TEST_CASE("the request path adds little to the latency of the direct path")
+{
+    const auto bound = 10 * absl::Microseconds(200);
+    auto settings = DeploymentSettings {};
+    settings.zonesPerRegion_ = 1;
+    auto deployment = Deployment(settings);
+    const auto &host = deployment.hosts().front();
+    const auto pid = host.process_->pid();
+    const auto load = loadOf("/open", 200, 3);
+    const auto direct = runLoad(deployment, deployment.backends().front().listen_, pid, load);
+    const auto through = runLoad(deployment, host.address_, pid, load);
+    CAPTURE(direct.client_.dump());
+    CAPTURE(through.client_.dump());
+    REQUIRE(direct.served() == 600);
+    REQUIRE(through.served() == 600);
+    CHECK(through.serviceTime("p50") - direct.serviceTime("p50") < bound);
+}
+
+// Guards against a change that reaches some of the daemons late or never.
+TEST_CASE("each of 100 changes is in force on 18 daemons within 6 s")
+{
+    constexpr auto count = 100;
+    constexpr auto limit = absl::Seconds(6);
+    auto settings = DeploymentSettings {};
+    settings.regions_ = 3;
+    settings.hostsPerZone_ = 3;
+    auto deployment = Deployment(settings);
+    REQUIRE(deployment.hosts().size() == 18);
+    const auto times = measureChanges(deployment, count, absl::Milliseconds(200), limit);
+    CHECK(times.missing_ == 0);
+    CHECK(times.delays_.size() == count * deployment.hosts().size());
+    CAPTURE(absl::FormatDuration(times.percentile(0.5)));
+    CAPTURE(absl::FormatDuration(times.percentile(0.99)));
+    CHECK(times.percentile(1) < limit);
+}
--- a/tests/integration/support/deployment.cpp
+++ b/tests/integration/support/deployment.cpp
@@ -321,7 +321,7 @@
     const auto settingsFile = fmt::format("{}/{}.yaml", folder_, host.name_);
     writeText(settingsFile,
               fmt::format("name: {}\nzone: {}\nlisten: {}\npeer_listen: {}\nadmin_listen: {}\nstore: {}\nsecret_file: {}\noperator_key_file: {}\n"
-                          "threads: 64\nlookup_lifetime: {}\nlog: {{level: info, format: key-value, lines_per_second: 2000}}\n",
+                          "threads: {}\nlookup_lifetime: {}\nlog: {{level: info, format: key-value, lines_per_second: 2000}}\n",
                           host.name_,
                           host.zone_,
                           host.address_,
@@ -330,6 +330,7 @@
                           host.storeAddress_,
                           secretFile_,
                           operatorKeyFile_,
+                          settings_.threads_,
                           settings_.lookupLifetime_));
     host.process_.reset();
     host.process_ = std::make_unique<Process>(host.name_, std::vector<std::string> { programPath("lycheecleatd"), "--settings", settingsFile }, folder_);
--- a/tests/integration/support/deployment.h
+++ b/tests/integration/support/deployment.h
@@ -34,6 +34,8 @@
     int backendsPerZone_ = 1;
     int slots_ = 8;
     int serviceMilliseconds_ = 5;
+    /** Requests that a daemon serves at once. */
+    int threads_ = 64;
     std::vector<TestOrganisation> organisations_ = { { "alpha" }, { "beta" } };
     std::string freshness_ = "4s";
     std::string loan_ = "2s";
--- /dev/null
+++ b/tests/integration/support/measurement.cpp
@@ -0,0 +1,187 @@
+#include "support/measurement.h"
+
+#include "connection/configurationstore.h"
+#include "connection/storeclient.h"
+#include "core/error.h"
+
+#include <absl/time/clock.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <map>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+#include <unistd.h>
+#include <utility>
+#include <variant>
+
+namespace integration
+{
+
+namespace
+{
+
+constexpr auto loadLimit = std::chrono::seconds { 60 };
+constexpr auto pollInterval = absl::Milliseconds(50);
+constexpr auto changedRule = "40-organisation-alpha.yaml";
+
+/** When a revision was written. */
+struct WrittenChange
+{
+    std::int64_t revision_ = 0;
+    absl::Time writtenAt_;
+};
+
+/** When a daemon had a revision in force, by revision. */
+using InForceTimes = std::map<std::int64_t, absl::Time>;
+
+// The text of a field NAME=TEXT of a log line; empty when there is none.
+auto logField(const std::string &line, const std::string &name) -> std::string
+{
+    const auto start = (" " + line).find(" " + name + "=");
+    if (start == std::string::npos) {
+        return {};
+    }
+    const auto begin = start + name.size() + 1;
+    return line.substr(begin, line.find(' ', begin) - begin);
+}
+
+auto readInForceTimes(const Process &daemon) -> InForceTimes
+{
+    auto times = InForceTimes {};
+    auto stream = std::istringstream(daemon.errorOutput());
+    auto line = std::string {};
+    while (std::getline(stream, line)) {
+        auto time = absl::Time {};
+        auto problem = std::string {};
+        if (logField(line, "event") == "configuration_in_force" && absl::ParseTime(absl::RFC3339_full, logField(line, "time"), &time, &problem)) {
+            times.emplace(std::stoll(logField(line, "revision")), time);
+        }
+    }
+    return times;
+}
+
+auto hasRevision(Deployment &deployment, std::int64_t revision) -> bool
+{
+    return std::all_of(deployment.hosts().begin(), deployment.hosts().end(), [&](const TestHost &host) {
+        const auto times = readInForceTimes(*host.process_);
+        return !times.empty() && times.rbegin()->first >= revision;
+    });
+}
+
+auto applyChange(lycheecleat::StoreClient &store, std::string &text, int number) -> WrittenChange
+{
+    auto next = std::string {};
+    auto stream = std::istringstream(text);
+    for (auto line = std::string {}; std::getline(stream, line);) {
+        next += line.rfind("burst:", 0) == 0 ? fmt::format("burst: {}\n", 1000 + number) : line + "\n";
+    }
+    const auto writtenAt = absl::Now();
+    const auto revision = lycheecleat::attempt([&] {
+        return lycheecleat::applyEdits(store, { { changedRule, text, next } }, fmt::format("measured-{}-{}", getpid(), number));
+    });
+    if (const auto *error = std::get_if<lycheecleat::Error>(&revision)) {
+        throw std::runtime_error("the change was refused: " + lycheecleat::describe(*error));
+    }
+    text = next;
+    return { std::get<std::int64_t>(revision), writtenAt };
+}
+
+auto delaysOf(Deployment &deployment, const std::vector<WrittenChange> &changes) -> ChangeTimes
+{
+    auto result = ChangeTimes {};
+    for (const auto &host : deployment.hosts()) {
+        const auto times = readInForceTimes(*host.process_);
+        for (const auto &change : changes) {
+            // A daemon may skip a revision that the next one has replaced.
+            const auto found = times.lower_bound(change.revision_);
+            if (found == times.end()) {
+                ++result.missing_;
+            } else {
+                result.delays_.push_back(found->second - change.writtenAt_);
+            }
+        }
+    }
+    std::sort(result.delays_.begin(), result.delays_.end());
+    return result;
+}
+
+}
+
+auto processorTime(pid_t pid) -> absl::Duration
+{
+    auto clock = clockid_t {};
+    auto time = timespec {};
+    if (clock_getcpuclockid(pid, &clock) != 0 || clock_gettime(clock, &time) != 0) {
+        throw std::runtime_error(fmt::format("no processor time of process {}", pid));
+    }
+    return absl::DurationFromTimespec(time);
+}
+
+auto residentMemory(pid_t pid) -> std::int64_t
+{
+    auto stream = std::istringstream(readText(fmt::format("/proc/{}/statm", pid)));
+    auto total = std::int64_t { 0 };
+    auto resident = std::int64_t { 0 };
+    if (!(stream >> total >> resident)) {
+        throw std::runtime_error(fmt::format("no memory use of process {}", pid));
+    }
+    return resident * sysconf(_SC_PAGESIZE);
+}
+
+auto LoadReport::served() const -> std::int64_t
+{
+    return client_.at("statuses").value("200", std::int64_t { 0 });
+}
+
+auto LoadReport::serviceTime(const std::string &percentile) const -> absl::Duration
+{
+    const auto &microseconds = client_.at("service_" + percentile + "_us");
+    return microseconds.is_null() ? absl::InfiniteDuration() : absl::Microseconds(microseconds.get<std::int64_t>());
+}
+
+auto runLoad(Deployment &deployment, const std::string &address, pid_t watched, const std::vector<std::string> &options) -> LoadReport
+{
+    auto command = std::vector<std::string> { programPath("load_client"), "--target", address };
+    command.insert(command.end(), options.begin(), options.end());
+    const auto before = processorTime(watched);
+    const auto result = runProgram("load", command, deployment.folder(), loadLimit);
+    const auto used = processorTime(watched) - before;
+    auto report = nlohmann::json::parse(result.output_, nullptr, false);
+    if (result.exitCode_ != 0 || !report.is_object()) {
+        throw std::runtime_error("the load client failed: " + result.output_ + result.errorOutput_);
+    }
+    return { std::move(report), used };
+}
+
+auto ChangeTimes::percentile(double share) const -> absl::Duration
+{
+    const auto total = delays_.size() + static_cast<std::size_t>(missing_);
+    const auto rank = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(share * static_cast<double>(total))));
+    return rank > delays_.size() ? absl::InfiniteDuration() : delays_[rank - 1];
+}
+
+auto measureChanges(Deployment &deployment, int count, absl::Duration meanPause, absl::Duration limit) -> ChangeTimes
+{
+    auto store = lycheecleat::StoreClient({ deployment.storeAddress() });
+    auto text = readText(deployment.ruleFolder() + "/" + changedRule);
+    auto changes = std::vector<WrittenChange> {};
+    // A fixed pause could stay in step with the daemons' polls.
+    auto random = std::mt19937 { 1 };
+    auto factor = std::uniform_real_distribution<double>(0.5, 1.5);
+    for (auto number = 0; number < count; ++number) {
+        changes.push_back(applyChange(store, text, number));
+        absl::SleepFor(meanPause * factor(random));
+    }
+    const auto deadline = absl::Now() + limit;
+    while (!hasRevision(deployment, changes.back().revision_) && absl::Now() < deadline) {
+        absl::SleepFor(pollInterval);
+    }
+    return delaysOf(deployment, changes);
+}
+
+}
