--- a/bench/systembench.cpp
+++ b/bench/systembench.cpp
@@ -3,7 +3,6 @@
 #include "connection/tcpconnection.h"
 #include "core/clock.h"
 #include "core/error.h"
-#include "support/controlcall.h"
 #include "support/deployment.h"
 #include "support/measurement.h"
 
@@ -157,10 +156,6 @@
         const auto status = lycheecleat::readResponse(connection, "GET", { 65536, 65536 }, lycheecleat::monotonicNow() + absl::Seconds(20), response);
         served += status == lycheecleat::MessageStatus::Whole && response.answer_.status_ == 200 ? 1 : 0;
     }
-    auto executions = std::string {};
-    for (const auto &backend : deployment.backends()) {
-        executions += " " + readControl(backend.listen_, "/control/counts").dump();
-    }
     fmt::print("memory of the daemon               {:.0f} MiB idle, {:.0f} MiB with {} connections to each of {} backend servers; {} of {} requests served\n",
                static_cast<double>(before) / mebibyte,
                static_cast<double>(during) / mebibyte,
@@ -168,7 +163,6 @@
                memoryServers,
                served,
                heldRequests);
-    fmt::print("backend servers' counts           {}\n", executions);
 }
 
 auto measureChangeTimes(int count) -> void
