Tell backend servers the organisation of a request

Backend servers were not told for whom a request runs, and an X-Organisation header from the caller reached them unchanged. The dispatcher now states the organisation of the key, after the headers that the caller's Connection header names are removed, and a caller's own value is dropped.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr auto timeoutHeader = "X-Request-Timeout-Ms";
+// Only this process may state it: a backend server trusts it, so a value from the caller must not pass.
+constexpr auto organisationHeader = "X-Organisation";
 
 constexpr auto firstFinalStatus = 200;
 constexpr auto noContentStatus = 204;
@@ -28,10 +30,11 @@
 
 auto isSetHere(const std::string &name) -> bool
 {
-    return equalIgnoringCase(name, "content-length") || equalIgnoringCase(name, "expect") || equalIgnoringCase(name, timeoutHeader);
+    return equalIgnoringCase(name, "content-length") || equalIgnoringCase(name, "expect") || equalIgnoringCase(name, timeoutHeader)
+        || equalIgnoringCase(name, organisationHeader);
 }
 
-auto requestText(const RequestContent &request, absl::Duration remaining) -> std::string
+auto requestText(const RequestContent &request, absl::Duration remaining, const std::string &organisation) -> std::string
 {
     auto headers = HeaderFields {};
     for (auto &header : withoutHopByHopHeaders(request.headers_)) {
@@ -43,6 +46,9 @@
         headers.push_back({ "Content-Length", std::to_string(request.body_.size()) });
     }
     headers.push_back({ timeoutHeader, std::to_string(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(remaining))) });
+    if (!organisation.empty()) {
+        headers.push_back({ organisationHeader, organisation });
+    }
     auto text = request.method_ + " " + request.target_ + " HTTP/1.1\r\n";
     appendHeaders(text, headers);
     text += request.body_;
@@ -208,7 +214,7 @@
     if (remaining <= absl::ZeroDuration()) {
         return failure(ExchangeStatus::NotSent, "the deadline passed before sending");
     }
-    const auto written = connection.write(requestText(request, remaining), call.deadline_);
+    const auto written = connection.write(requestText(request, remaining, call.organisation_), call.deadline_);
     if (connection.bytesWritten() == writtenBefore) {
         return failure(ExchangeStatus::NotSent, "the connection took no data");
     }
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -50,6 +50,8 @@
     bool repeatable_ = false;
     /** Longest wait for the first byte of the response on a connection that was used before. */
     absl::Duration firstByteLimit_ = absl::InfiniteDuration();
+    /** Organisation that the backend server is told; empty on open routes. */
+    std::string organisation_ = {};
 };
 
 /** The result of an exchange. */
--- a/libraries/connection/backendpooltest.cpp
+++ b/libraries/connection/backendpooltest.cpp
@@ -151,3 +151,22 @@
     CHECK(received.find("99999") == std::string::npos);
     CHECK(received.find("\r\n\r\nbody") != std::string::npos);
 }
+
+// Guards against a caller who names another organisation, or has the true one removed as a header of the connection.
+TEST_CASE("only this process names the organisation")
+{
+    const auto server = ScriptedServer("127.0.0.1", [](const ScriptedRequest &) {
+        return ScriptedReply { wholeResponse };
+    });
+    auto pool = BackendPool();
+    auto request = plainRequest();
+    request.headers_.push_back({ "x-organisation", "beta" });
+    request.headers_.push_back({ "Connection", "X-Organisation" });
+    static_cast<void>(pool.exchange(callTo(server), request));
+    CHECK(server.receivedBytes().find("rganisation") == std::string::npos);
+    auto call = callTo(server);
+    call.organisation_ = "alpha";
+    static_cast<void>(pool.exchange(call, request));
+    CHECK(server.receivedBytes().find("X-Organisation: alpha\r\n") != std::string::npos);
+    CHECK(server.receivedBytes().find("beta") == std::string::npos);
+}
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -256,6 +256,7 @@
     run.result_.attempts_ += 1;
     run.tried_.push_back(backend.name_);
     auto call = BackendCall { backend.address_, std::min(run.request_.deadline_, grant.deadline_), run.request_.repeatable_ };
+    call.organisation_ = run.request_.organisation_;
     if (run.request_.repeatable_) {
         call.firstByteLimit_ = (call.deadline_ - monotonicNow()) * firstByteShare;
     }
