Refuse keys that come outside their carriers

A key was searched for in the rest of a request only when the request also had a carrier with that key. A key alone in the path, body or a header of a request to an open route, another caller's key beside the caller's own, and a key as the request's method reached the backend server. Keys are now also found by their form (lk_ and 64 hexadecimal digits), and the method is searched too.

--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -265,7 +265,8 @@
     if (credentials.keys_.size() > 1) {
         return Refusal::KeyAmbiguous;
     }
-    if (!credentials.keys_.empty() && containsKey(state.content_, credentials.keys_.front())) {
+    // The second test finds keys of other callers, and a key that came with no carrier at all.
+    if ((!credentials.keys_.empty() && containsKey(state.content_, credentials.keys_.front())) || containsKeyForm(state.content_)) {
         return Refusal::KeyInContent;
     }
     if (state.route_->access_ == Access::Open) {
--- a/libraries/request/credentials.cpp
+++ b/libraries/request/credentials.cpp
@@ -1,6 +1,9 @@
 #include "request/credentials.h"
 
+#include "version/keyfile.h"
+
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace lycheecleat
@@ -125,18 +128,51 @@
     return query.empty() ? std::string(path) : std::string(path) + "?" + query;
 }
 
-auto textContainsKey(std::string_view text, std::string_view key) -> bool
+using TextTest = std::function<bool(std::string_view)>;
+
+// Tests a text as it is and percent-decoded.
+auto holdsDecoded(std::string_view text, const TextTest &test) -> bool
 {
-    if (text.find(key) != std::string_view::npos) {
+    if (test(text)) {
         return true;
     }
-    if (text.find('%') == std::string_view::npos) {
-        return false;
-    }
     auto decoded = std::string(text);
-    for (auto round = 0; round < maximumDecodings; ++round) {
+    for (auto round = 0; round < maximumDecodings && decoded.find('%') != std::string::npos; ++round) {
         decoded = percentDecoded(decoded);
-        if (decoded.find(key) != std::string::npos) {
+        if (test(decoded)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto holdsAnywhere(const RequestContent &content, const TextTest &test) -> bool
+{
+    if (holdsDecoded(content.method_, test) || holdsDecoded(content.target_, test) || holdsDecoded(content.body_, test)) {
+        return true;
+    }
+    return std::any_of(content.headers_.begin(), content.headers_.end(), [&](const HeaderField &header) {
+        return holdsDecoded(header.name_, test) || holdsDecoded(header.value_, test);
+    });
+}
+
+auto isHexDigit(char character) -> bool
+{
+    return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'f') || (character >= 'A' && character <= 'F');
+}
+
+auto holdsKeyForm(std::string_view text) -> bool
+{
+    const auto prefix = std::string_view(keyPrefix);
+    constexpr auto digits = std::size_t { 2 } * keyBytes;
+    // The last character of the prefix has no letter case and is rare in most texts.
+    for (auto end = text.find(prefix.back()); end != std::string_view::npos; end = text.find(prefix.back(), end + 1)) {
+        const auto length = end + 1;
+        if (length < prefix.size() || text.size() - length < digits || !equalIgnoringCase(text.substr(length - prefix.size(), prefix.size()), prefix)) {
+            continue;
+        }
+        const auto random = text.substr(length, digits);
+        if (std::all_of(random.begin(), random.end(), isHexDigit)) {
             return true;
         }
     }
@@ -159,12 +195,14 @@
 
 auto containsKey(const RequestContent &content, std::string_view key) -> bool
 {
-    if (textContainsKey(content.target_, key) || textContainsKey(content.body_, key)) {
-        return true;
-    }
-    return std::any_of(content.headers_.begin(), content.headers_.end(), [&](const HeaderField &header) {
-        return textContainsKey(header.name_, key) || textContainsKey(header.value_, key);
+    return holdsAnywhere(content, [&](std::string_view text) {
+        return text.find(key) != std::string_view::npos;
     });
 }
 
+auto containsKeyForm(const RequestContent &content) -> bool
+{
+    return holdsAnywhere(content, holdsKeyForm);
+}
+
 }
--- a/libraries/request/credentials.h
+++ b/libraries/request/credentials.h
@@ -30,4 +30,10 @@
 /** Whether a key occurs anywhere in a request, as it is or percent-encoded up to three times. */
 [[nodiscard]] auto containsKey(const RequestContent &content, std::string_view key) -> bool;
 
+/**
+ * Whether a text of the form of a granted key, in any letter case, occurs anywhere in a request, as it is or percent-encoded up to three times.
+ * The form decides and not the configuration, so that a key which this host doesn't know yet is found too.
+ */
+[[nodiscard]] auto containsKeyForm(const RequestContent &content) -> bool;
+
 }
--- a/libraries/request/credentialstest.cpp
+++ b/libraries/request/credentialstest.cpp
@@ -80,6 +80,7 @@
         { "header value encoded", { "GET", "/a", { { "X-A", "%73ecret" } }, "" }, true },
         { "body", { "POST", "/a", {}, "{\"key\":\"secret\"}" }, true },
         { "body encoded", { "POST", "/a", {}, "key=secre%74" }, true },
+        { "method", { "secret", "/a", {}, "" }, true },
         { "incomplete percent sequence", { "POST", "/a", {}, "key=%7" }, false },
     };
     for (const auto &contentCase : cases) {
@@ -88,6 +89,32 @@
     }
 }
 
+// Guards against a key that reaches a backend server because it came without a carrier, or beside the key of another caller.
+TEST_CASE("a text of the form of a key is detected anywhere in the request")
+{
+    const auto digits = std::string(64, 'a');
+    const auto key = "lk_" + digits;
+    const auto cases = std::vector<ContentCase> {
+        { "absent", { "GET", "/a_b?c_d=1", { { "X-A_B", "_" } }, "_lk_" }, false },
+        { "path", { "GET", "/a/" + key + "/b", {}, "" }, true },
+        { "other letter case", { "GET", "/a", { { "X-A", "LK_" + std::string(64, 'F') } }, "" }, true },
+        { "within a longer word", { "POST", "/a", {}, "xlk_" + digits + "00" }, true },
+        { "encoded", { "GET", "/a?b=l%6b%5f" + digits, {}, "" }, true },
+        { "encoded twice", { "GET", "/a?b=lk%255F" + digits, {}, "" }, true },
+        { "header name", { "GET", "/a", { { key, "1" } }, "" }, true },
+        { "body", { "POST", "/a", {}, "{\"key\":\"" + key + "\"}" }, true },
+        { "method", { key, "/a", {}, "" }, true },
+        { "after a beginning", { "POST", "/a", {}, "lk_lk_" + digits }, true },
+        { "one digit short", { "GET", "/a/" + key.substr(0, 66), {}, "" }, false },
+        { "not a digit", { "GET", "/a/lk_" + std::string(63, 'a') + "g", {}, "" }, false },
+        { "another prefix", { "GET", "/a/ik_" + digits, {}, "" }, false },
+    };
+    for (const auto &contentCase : cases) {
+        CAPTURE(contentCase.description_);
+        CHECK(containsKeyForm(contentCase.content_) == contentCase.expected_);
+    }
+}
+
 // Guards against headers that concern one connection reaching the next one, where they could change how a message is delimited.
 TEST_CASE("hop-by-hop headers are removed")
 {
--- /dev/null
+++ b/tests/integration/keystest.cpp
@@ -0,0 +1,219 @@
+#include "support/caller.h"
+#include "support/controlcall.h"
+#include "support/deployment.h"
+#include "support/invariants.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace integration;
+
+namespace
+{
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+constexpr auto statusOk = 200;
+
+/** A request that carries keys somewhere, and what must become of it. */
+struct KeyCase
+{
+    std::string name_;
+    std::string path_;
+    Headers headers_;
+    std::string body_ = {};
+    std::string method_ = "GET";
+    /** The organisation that the backend server must see; none when the request must be refused. */
+    std::optional<std::string> organisation_ = std::nullopt;
+    /** Reason of the refusal. */
+    std::string reason_ = {};
+};
+
+/** Every character percent-encoded. */
+auto percentEncoded(const std::string &text) -> std::string
+{
+    auto encoded = std::string {};
+    for (const auto character : text) {
+        encoded += fmt::format("%{:02X}", static_cast<unsigned char>(character));
+    }
+    return encoded;
+}
+
+/** The organisations that backend servers saw with a test identifier. */
+auto organisationsSeen(Deployment &deployment, const std::string &testId) -> std::vector<std::string>
+{
+    auto seen = std::vector<std::string> {};
+    for (const auto &backend : deployment.backends()) {
+        const auto record = readControl(backend.listen_, "/control/record");
+        for (const auto &request : record.at("requests")) {
+            if (request.at("id") == testId) {
+                seen.push_back(request.at("organisation").get<std::string>());
+            }
+        }
+    }
+    return seen;
+}
+
+/** Sends each case to each host and checks the answer and what the backend servers saw. */
+auto checkCases(Deployment &deployment, Caller &caller, const std::vector<KeyCase> &cases) -> void
+{
+    for (const auto &keyCase : cases) {
+        for (auto &host : deployment.hosts()) {
+            CAPTURE(keyCase.name_);
+            CAPTURE(host.name_);
+            auto request = CallerRequest {};
+            request.method_ = keyCase.method_;
+            request.path_ = keyCase.path_;
+            request.headers_ = keyCase.headers_;
+            request.body_ = keyCase.body_;
+            request.testId_ = makeTestId();
+            const auto answer = caller.send(host.address_, request);
+            CAPTURE(answer.error_);
+            CAPTURE(answer.body_);
+            CHECK(answer.answered_);
+            CHECK((answer.status_ == statusOk) == keyCase.organisation_.has_value());
+            CHECK(answer.reason_ == keyCase.reason_);
+            CHECK(answer.outcome_ == (keyCase.organisation_ ? "ran" : "not-run"));
+            const auto expected = keyCase.organisation_ ? std::vector<std::string> { *keyCase.organisation_ } : std::vector<std::string> {};
+            CHECK(organisationsSeen(deployment, request.testId_) == expected);
+        }
+    }
+}
+
+/** Carriers of one key, each of which is accepted and removed. */
+auto carrierCases(const std::string &key) -> std::vector<KeyCase>
+{
+    const auto encoded = percentEncoded(key);
+    auto cases = std::vector<KeyCase> {
+        { "bearer", "/dives", { { "Authorization", "Bearer " + key } } },
+        { "bearer in lower case", "/dives", { { "authorization", "bearer " + key } } },
+        { "bearer in upper case", "/dives", { { "AUTHORIZATION", "BEARER   " + key } } },
+        { "bearer twice", "/dives", { { "Authorization", "Bearer " + key }, { "authorization", "bearer " + key } } },
+        { "header", "/dives", { { "X-Api-Key", key } } },
+        { "header in other case", "/dives", { { "x-aPI-kEY", key } } },
+        { "header list", "/dives", { { "X-Api-Key", key + ", " + key } } },
+        { "query", "/dives?depth=3&api_key=" + key + "&boat=2", {} },
+        { "query in upper case", "/dives?API_KEY=" + key, {} },
+        { "query repeated", "/dives?api_key=" + key + "&Api_Key=" + key, {} },
+        { "query encoded", "/dives?api_key=" + encoded, {} },
+        { "query with an encoded name", "/dives?" + percentEncoded("api_key") + "=" + key, {} },
+        { "query after a semicolon", "/dives?a=1;api_key=" + key, {} },
+        { "cookie", "/dives", { { "Cookie", "theme=blue; api_key=" + key + "; lang=rw" } } },
+        { "cookie in other case, quoted", "/dives", { { "cookie", "Api_Key=\"" + key + "\"" } } },
+        { "cookie encoded", "/dives", { { "Cookie", "api_key=" + encoded } } },
+        { "cookie twice", "/dives", { { "Cookie", "api_key=" + key }, { "Cookie", "API_KEY=" + key } } },
+        { "every carrier", "/dives?api_key=" + key, { { "Authorization", "Bearer " + key }, { "X-Api-Key", key }, { "Cookie", "api_key=" + key } } },
+        { "another scheme beside the key", "/dives", { { "Authorization", "Basic " + key }, { "X-Api-Key", key } } },
+        { "a caller who names another organisation", "/dives", { { "X-Api-Key", key }, { "X-Organisation", "beta" } } },
+        { "a caller who has the organisation removed", "/dives", { { "X-Api-Key", key }, { "Connection", "X-Organisation" } } },
+        { "POST", "/dives", { { "X-Api-Key", key } }, "{\"depth\": 3}", "POST" },
+    };
+    for (auto &keyCase : cases) {
+        keyCase.organisation_ = "alpha";
+    }
+    return cases;
+}
+
+/** Requests with two keys, in every pair of carriers. */
+auto ambiguousCases(const std::string &first, const std::string &second) -> std::vector<KeyCase>
+{
+    const auto bearer = std::pair<std::string, std::string> { "Authorization", "Bearer " + first };
+    auto cases = std::vector<KeyCase> {
+        { "two bearers", "/dives", { bearer, { "Authorization", "Bearer " + second } } },
+        { "two keys in one bearer", "/dives", { { "Authorization", "Bearer " + first + " " + second } } },
+        { "bearer and header", "/dives", { bearer, { "x-api-key", second } } },
+        { "bearer and query", "/dives?api_key=" + second, { bearer } },
+        { "bearer and encoded query", "/dives?API_KEY=" + percentEncoded(second), { bearer } },
+        { "bearer and cookie", "/dives", { bearer, { "Cookie", "api_key=" + second } } },
+        { "two query parameters", "/dives?api_key=" + first + "&api_key=" + second, {} },
+        { "two cookies", "/dives", { { "Cookie", "api_key=" + first + "; api_key=" + second } } },
+        { "open route", "/open/prices?api_key=" + second, { bearer } },
+    };
+    for (auto &keyCase : cases) {
+        keyCase.reason_ = "key_ambiguous";
+    }
+    return cases;
+}
+
+/** Requests with a key outside its carriers; `carrier` may be empty, or hold the same or another key. */
+auto contentCases(const std::string &label, const std::string &route, const std::string &key, const Headers &carrier) -> std::vector<KeyCase>
+{
+    const auto with = [&](const std::string &name, const std::string &value) {
+        auto headers = carrier;
+        headers.emplace_back(name, value);
+        return headers;
+    };
+    const auto encoded = percentEncoded(key);
+    auto cases = std::vector<KeyCase> {
+        { "path", route + key, carrier },
+        { "encoded path", route + encoded, carrier },
+        { "path parameter", route + "prices;key=" + key, carrier },
+        { "another query parameter", route + "prices?token=" + key, carrier },
+        { "twice encoded query", route + "prices?token=" + percentEncoded(encoded), carrier },
+        { "another header", route, with("X-Trace", "from " + key) },
+        { "encoded in another header", route, with("Referer", "http://x/?api_key=" + encoded) },
+        { "another cookie", route, with("Cookie", "session=" + key) },
+        { "header name", route, with(key, "1") },
+        { "idempotency key", route, with("Idempotency-Key", key) },
+        { "body", route, carrier, "{\"key\": \"" + key + "\"}", "POST" },
+        { "encoded body", route, carrier, "key=" + encoded, "POST" },
+        { "method", route, carrier, "", key },
+    };
+    for (auto &keyCase : cases) {
+        keyCase.name_ = label + ": " + keyCase.name_;
+        keyCase.reason_ = "key_in_content";
+    }
+    return cases;
+}
+
+auto proxiedSettings() -> DeploymentSettings
+{
+    auto settings = DeploymentSettings {};
+    settings.proxied_ = true;
+    return settings;
+}
+
+}
+
+// Guards against a carrier that is not recognised, or recognised and passed on, and against a request that runs for another organisation.
+TEST_CASE("a key is accepted in every carrier and never passed on")
+{
+    auto deployment = Deployment(proxiedSettings());
+    const auto first = deployment.grantKey("alpha").key_;
+    const auto second = deployment.grantKey("beta").key_;
+    deployment.waitUntilAccepted(first);
+    deployment.waitUntilAccepted(second);
+    auto caller = Caller {};
+    checkCases(deployment, caller, carrierCases(first));
+    checkCases(deployment, caller, ambiguousCases(first, second));
+    checkCases(deployment,
+               caller,
+               {
+                   { "open route with a key", "/open/prices?api_key=" + first, { { "X-Api-Key", first } }, "", "GET", "" },
+                   { "open route that names an organisation", "/open/prices", { { "X-Organisation", "beta" } }, "", "GET", "" },
+                   { "other key", "/dives", { { "X-Api-Key", second } }, "", "GET", "beta" },
+                   { "no key, an organisation named", "/dives", { { "X-Organisation", "beta" } }, "", "GET", std::nullopt, "key_missing" },
+               });
+    CHECK(findViolations(deployment, caller.records(), { first, second }) == "");
+}
+
+// Guards against a key that reaches a backend server from a place where it is not looked for, also on open routes and beside another organisation's key.
+TEST_CASE("a key outside its carriers is refused")
+{
+    auto deployment = Deployment(proxiedSettings());
+    const auto first = deployment.grantKey("alpha").key_;
+    const auto second = deployment.grantKey("beta").key_;
+    deployment.waitUntilAccepted(first);
+    deployment.waitUntilAccepted(second);
+    auto caller = Caller {};
+    checkCases(deployment, caller, contentCases("same key", "/dives/", first, { { "X-Api-Key", first } }));
+    checkCases(deployment, caller, contentCases("another key", "/dives/", second, { { "X-Api-Key", first } }));
+    checkCases(deployment, caller, contentCases("same key, open route", "/open/", first, { { "X-Api-Key", first } }));
+    checkCases(deployment, caller, contentCases("no carrier, open route", "/open/", first, {}));
+    CHECK(findViolations(deployment, caller.records(), { first, second }) == "");
+}
