Test withdrawals and configuration with real processes and faults

Throughout, no serving daemon may go back or show two digests for a revision. The store stand-in can lose the replies of writes to chosen keys only, since the reply to the write of the head could not be lost before.

--- /dev/null
+++ b/tests/integration/configurationtest.cpp
@@ -0,0 +1,375 @@
+#include "support/caller.h"
+#include "support/controlcall.h"
+#include "support/deployment.h"
+#include "support/hoststate.h"
+#include "support/invariants.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace integration;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+/** The time within which an accepted configuration is in force everywhere. */
+constexpr auto forceLimit = 6s;
+constexpr auto toolLimit = 30s;
+/** Exit codes of the tool. */
+constexpr auto exitSuccess = 0;
+constexpr auto exitUnreachable = 3;
+constexpr auto exitConflict = 4;
+constexpr auto seed = 41;
+
+auto proxiedSettings(int zones, int hostsPerZone) -> DeploymentSettings
+{
+    auto settings = DeploymentSettings {};
+    settings.zonesPerRegion_ = zones;
+    settings.hostsPerZone_ = hostsPerZone;
+    settings.proxied_ = true;
+    return settings;
+}
+
+/** A rule file that changes with a number. */
+auto organisationRule(const std::string &name, int burst) -> std::string
+{
+    return fmt::format("kind: organisation\nname: {}\nrate: 2000/s\nburst: {}\nweight: 1\n", name, burst);
+}
+
+/** An operator with a folder. */
+struct Operator
+{
+    Operator(Deployment &deployment, std::string name)
+        : deployment_(deployment)
+        , name_(std::move(name))
+        , folder_(deployment.folder() + "/" + name_)
+    {
+    }
+
+    auto run(std::vector<std::string> arguments) -> ProgramResult
+    {
+        arguments.insert(arguments.begin(), programPath("lycheecleat"));
+        arguments.insert(arguments.end(), { "--store", deployment_.storeAddress() });
+        return runProgram("tool-" + name_, arguments, deployment_.folder(), toolLimit);
+    }
+
+    auto pull() -> ProgramResult
+    {
+        return run({ "pull", folder_ });
+    }
+
+    auto apply() -> ProgramResult
+    {
+        return run({ "apply", folder_ });
+    }
+
+    auto write(const std::string &organisation, int burst) -> void
+    {
+        writeText(folder_ + "/40-organisation-" + organisation + ".yaml", organisationRule(organisation, burst));
+    }
+
+    auto read(const std::string &organisation) -> std::string
+    {
+        return readText(folder_ + "/40-organisation-" + organisation + ".yaml");
+    }
+
+    Deployment &deployment_;
+    std::string name_;
+    std::string folder_;
+};
+
+/** What the store holds for an organisation, as a newly pulled folder shows it. */
+auto storedRule(Deployment &deployment, const std::string &organisation) -> std::string
+{
+    static auto number = 0;
+    auto reader = Operator(deployment, fmt::format("reader-{}", ++number));
+    REQUIRE(reader.pull().exitCode_ == exitSuccess);
+    return reader.read(organisation);
+}
+
+/** Watches all daemons that serve and notes each that goes back, also over a restart, or shows two digests for one revision. */
+class RevisionWatch
+{
+public:
+    explicit RevisionWatch(Deployment &deployment)
+        : deployment_(deployment)
+    {
+        for (const auto &host : deployment.hosts()) {
+            hosts_.push_back(HostAddress { host.name_, host.adminAddress_ });
+        }
+        thread_ = std::thread([this] {
+            while (!stopping_) {
+                look();
+                std::this_thread::sleep_for(20ms);
+            }
+        });
+    }
+    RevisionWatch(const RevisionWatch &) = delete;
+    auto operator=(const RevisionWatch &) -> RevisionWatch & = delete;
+    ~RevisionWatch()
+    {
+        stopping_ = true;
+        thread_.join();
+    }
+
+    /** What went wrong until now, one a line. */
+    auto faults() -> std::string
+    {
+        const auto lock = std::lock_guard(mutex_);
+        return faults_;
+    }
+
+private:
+    struct HostAddress
+    {
+        std::string name_;
+        std::string address_;
+    };
+
+    auto look() -> void
+    {
+        for (const auto &host : hosts_) {
+            auto asked = TestHost {};
+            asked.name_ = host.name_;
+            asked.adminAddress_ = host.address_;
+            const auto state = readHostState(deployment_, asked);
+            if (state && state->ready_) {
+                note(host.name_, *state);
+            }
+        }
+    }
+
+    auto note(const std::string &name, const HostState &state) -> void
+    {
+        const auto lock = std::lock_guard(mutex_);
+        auto &highest = highest_[name];
+        if (state.revision_ < highest) {
+            faults_ += fmt::format("{} went back from revision {} to {}\n", name, highest, state.revision_);
+        }
+        highest = std::max(highest, state.revision_);
+        const auto &digest = digests_.try_emplace(state.revision_, state.digest_).first->second;
+        if (digest != state.digest_) {
+            faults_ += fmt::format("{} has another digest for revision {}\n", name, state.revision_);
+        }
+    }
+
+    const Deployment &deployment_;
+    std::vector<HostAddress> hosts_;
+    std::mutex mutex_;
+    std::map<std::string, std::int64_t> highest_;
+    std::map<std::int64_t, std::string> digests_;
+    std::string faults_;
+    std::atomic<bool> stopping_ = false;
+    std::thread thread_;
+};
+
+struct RaceCase
+{
+    std::string name_;
+    std::string firstOrganisation_;
+    std::string secondOrganisation_;
+    /** Exit codes, sorted. */
+    std::vector<int> exitCodes_;
+};
+
+struct LostReplyCase
+{
+    std::string name_;
+    std::string prefix_;
+    int count_ = 0;
+};
+
+}
+
+// Guards against an edit that is lost when two operators write at the same time, and against two edits of one file that both claim success.
+TEST_CASE("two operators race")
+{
+    auto deployment = Deployment(proxiedSettings(2, 1));
+    auto watch = RevisionWatch(deployment);
+    const auto cases = std::vector<RaceCase> {
+        { "disjoint files", "alpha", "beta", { exitSuccess, exitSuccess } },
+        { "the same file", "alpha", "alpha", { exitSuccess, exitConflict } },
+    };
+    auto burst = 3000;
+    for (const auto &raceCase : cases) {
+        for (auto round = 0; round < 5; ++round) {
+            CAPTURE(raceCase.name_);
+            CAPTURE(round);
+            auto first = Operator(deployment, fmt::format("first-{}", burst));
+            auto second = Operator(deployment, fmt::format("second-{}", burst));
+            REQUIRE(first.pull().exitCode_ == exitSuccess);
+            REQUIRE(second.pull().exitCode_ == exitSuccess);
+            first.write(raceCase.firstOrganisation_, ++burst);
+            second.write(raceCase.secondOrganisation_, ++burst);
+            auto other = std::async(std::launch::async, [&] {
+                return second.apply();
+            });
+            const auto firstResult = first.apply();
+            const auto secondResult = other.get();
+            auto exitCodes = std::vector { firstResult.exitCode_, secondResult.exitCode_ };
+            std::sort(exitCodes.begin(), exitCodes.end());
+            CAPTURE(firstResult.errorOutput_);
+            CAPTURE(secondResult.errorOutput_);
+            CHECK(exitCodes == raceCase.exitCodes_);
+            if (firstResult.exitCode_ == exitSuccess) {
+                CHECK(storedRule(deployment, raceCase.firstOrganisation_) == first.read(raceCase.firstOrganisation_));
+            }
+            if (secondResult.exitCode_ == exitSuccess) {
+                CHECK(storedRule(deployment, raceCase.secondOrganisation_) == second.read(raceCase.secondOrganisation_));
+            }
+            CHECK(waitForRevision(deployment, storedRevision(deployment), forceLimit) == "");
+        }
+    }
+    CHECK(watch.faults() == "");
+}
+
+// Guards against a change that is reported as failed, or made twice, because the reply to its write was lost.
+TEST_CASE("the reply to the accepting write is lost")
+{
+    auto deployment = Deployment(proxiedSettings(2, 1));
+    auto watch = RevisionWatch(deployment);
+    const auto cases = std::vector<LostReplyCase> {
+        { "head", "head", 1 },
+        { "chunk", "chunk/", 1 },
+        { "chunk twice", "chunk/", 2 },
+        { "first of all", "", 1 },
+    };
+    auto burst = 4000;
+    for (const auto &lostCase : cases) {
+        CAPTURE(lostCase.name_);
+        const auto before = storedRevision(deployment);
+        const auto lostBefore = readControl(deployment.storeAddress(), "/control/counts").at("lost_reply").get<int>();
+        postControl(deployment.storeAddress(), "/control/lose-replies", Json { { "count", lostCase.count_ }, { "prefix", lostCase.prefix_ } });
+        deployment.writeRule("40-organisation-alpha.yaml", organisationRule("alpha", ++burst));
+        const auto applied = deployment.applyRules();
+        CAPTURE(applied.errorOutput_);
+        CHECK(applied.exitCode_ == exitSuccess);
+        CHECK(readControl(deployment.storeAddress(), "/control/counts").at("lost_reply").get<int>() == lostBefore + lostCase.count_);
+        CHECK(storedRevision(deployment) == before + 1);
+        CHECK(storedRule(deployment, "alpha") == organisationRule("alpha", burst));
+        CHECK(waitForRevision(deployment, before + 1, forceLimit) == "");
+    }
+    CHECK(watch.faults() == "");
+}
+
+// Guards against a change that is half written, or reported as made and missing, when the store goes away and hosts crash meanwhile.
+TEST_CASE("the store goes away and hosts restart while changes are applied")
+{
+    auto deployment = Deployment(proxiedSettings(3, 1));
+    auto watch = RevisionWatch(deployment);
+    auto random = std::mt19937(seed);
+    auto burst = 5000;
+    auto outages = 0;
+    for (auto round = 0; round < 10; ++round) {
+        CAPTURE(round);
+        deployment.writeRule("40-organisation-alpha.yaml", organisationRule("alpha", ++burst));
+        const auto delay = std::chrono::milliseconds(random() % 30);
+        auto &host = deployment.hosts()[random() % deployment.hosts().size()];
+        auto applying = std::async(std::launch::async, [&] {
+            return deployment.applyRules();
+        });
+        std::this_thread::sleep_for(delay);
+        postControl(deployment.storeAddress(), "/control/outage", Json { { "on", true } });
+        host.process_->kill();
+        const auto applied = applying.get();
+        CAPTURE(applied.errorOutput_);
+        CHECK((applied.exitCode_ == exitSuccess || applied.exitCode_ == exitUnreachable));
+        outages += applied.exitCode_ == exitUnreachable ? 1 : 0;
+        postControl(deployment.storeAddress(), "/control/outage", Json { { "on", false } });
+        if (applied.exitCode_ == exitSuccess) {
+            CHECK(storedRule(deployment, "alpha") == organisationRule("alpha", burst));
+        }
+        const auto repeated = deployment.applyRules();
+        CAPTURE(repeated.errorOutput_);
+        CHECK(repeated.exitCode_ == exitSuccess);
+        CHECK(storedRule(deployment, "alpha") == organisationRule("alpha", burst));
+        deployment.startHost(host);
+        CHECK(waitForRevision(deployment, storedRevision(deployment), forceLimit) == "");
+    }
+    MESSAGE("applies that met the outage: ", outages);
+    CHECK(watch.faults() == "");
+}
+
+// Guards against a host, also a restarted one, that follows a store which was restored from an old state.
+TEST_CASE("a store that returns older data does not take a configuration back")
+{
+    auto deployment = Deployment(proxiedSettings(3, 1));
+    const auto key = deployment.grantKey("alpha");
+    deployment.waitUntilAccepted(key.key_);
+    auto watch = RevisionWatch(deployment);
+    auto caller = Caller {};
+    postControl(deployment.storeAddress(), "/control/snapshot", Json::object());
+    REQUIRE(deployment.runTool({ "key", "withdraw", key.name_ }).exitCode_ == exitSuccess);
+    const auto newest = storedRevision(deployment);
+    REQUIRE(waitForRevision(deployment, newest, forceLimit) == "");
+
+    postControl(deployment.storeAddress(), "/control/rewind", Json::object());
+    REQUIRE(storedRevision(deployment) == newest - 1);
+    auto alarms = 0;
+    for (auto &host : deployment.hosts()) {
+        alarms += host.process_->waitForText("event=configuration_refused reason=older", forceLimit) ? 1 : 0;
+    }
+    CHECK(alarms == static_cast<int>(deployment.hosts().size()));
+    auto &restarted = deployment.hosts().front();
+    restarted.process_->kill();
+    deployment.startHost(restarted);
+    CHECK(waitForRevision(deployment, newest, forceLimit) == "");
+
+    // Another change gives a revision number that is in force with another content.
+    CHECK(deployment.runTool({ "drain", "backend/r1-1-b1" }).exitCode_ == exitSuccess);
+    REQUIRE(storedRevision(deployment) == newest);
+    CHECK(deployment.hosts().back().process_->waitForText("event=configuration_refused reason=conflict", forceLimit));
+    CHECK(waitForRevision(deployment, newest, forceLimit) == "");
+    auto request = CallerRequest {};
+    request.path_ = "/dives";
+    request.key_ = key.key_;
+    for (auto &host : deployment.hosts()) {
+        CAPTURE(host.name_);
+        CHECK(caller.send(host.address_, request).status_ != 200);
+    }
+    CHECK(watch.faults() == "");
+    CHECK(findViolations(deployment, caller.records(), { key.key_ }) == "");
+}
+
+// Guards against a host that stays behind after a partition or a pause.
+TEST_CASE("a zone that rejoins and a host that resumes take the newest revision")
+{
+    auto deployment = Deployment(proxiedSettings(3, 2));
+    auto watch = RevisionWatch(deployment);
+    auto &frozen = deployment.host("r1-1-h1");
+    deployment.isolateZone("r1-3", true);
+    frozen.process_->freeze();
+    for (auto burst = 7001; burst <= 7003; ++burst) {
+        deployment.writeRule("40-organisation-alpha.yaml", organisationRule("alpha", burst));
+        REQUIRE(deployment.applyRules().exitCode_ == exitSuccess);
+    }
+    // Longer than the freshness and every timeout of a peer or store call.
+    std::this_thread::sleep_for(6s);
+    const auto newest = storedRevision(deployment);
+    for (const auto *const name : { "r1-3-h1", "r1-3-h2" }) {
+        CHECK(readHostState(deployment, deployment.host(name)).value_or(HostState {}).revision_ == newest - 3);
+    }
+    for (const auto *const name : { "r1-1-h2", "r1-2-h1", "r1-2-h2" }) {
+        CHECK(readHostState(deployment, deployment.host(name)).value_or(HostState {}).revision_ == newest);
+    }
+    deployment.isolateZone("r1-3", false);
+    frozen.process_->resume();
+    CHECK(waitForRevision(deployment, newest, forceLimit) == "");
+    CHECK(watch.faults() == "");
+}
--- /dev/null
+++ b/tests/integration/support/hoststate.cpp
@@ -0,0 +1,99 @@
+#include "support/hoststate.h"
+
+#include "support/controlcall.h"
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <thread>
+
+namespace integration
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr auto pollInterval = std::chrono::milliseconds { 50 };
+constexpr auto answerTimeout = std::chrono::milliseconds { 500 };
+constexpr auto statusOk = 200;
+
+auto operatorKeyFile(const Deployment &deployment) -> std::string
+{
+    return deployment.folder() + "/operator-key";
+}
+
+auto operatorKey(const Deployment &deployment) -> std::string
+{
+    auto key = readText(operatorKeyFile(deployment));
+    key.erase(key.find_last_not_of('\n') + 1);
+    return key;
+}
+
+/** What the running daemons have, one a line; empty when all have the revision with one digest. */
+auto describeDifferences(Deployment &deployment, std::int64_t revision) -> std::string
+{
+    auto description = std::string {};
+    auto digests = std::set<std::string> {};
+    auto isEverywhere = true;
+    for (auto &host : deployment.hosts()) {
+        if (!host.process_ || !host.process_->isRunning()) {
+            continue;
+        }
+        const auto state = readHostState(deployment, host).value_or(HostState {});
+        description += fmt::format("{} has revision {} {}, wanted {}\n", host.name_, state.revision_, state.digest_, revision);
+        digests.insert(state.digest_);
+        isEverywhere = isEverywhere && state.revision_ == revision;
+    }
+    return isEverywhere && digests.size() <= 1 ? std::string {} : description;
+}
+
+}
+
+auto administrationOptions(Deployment &deployment, const std::vector<std::string> &hosts) -> std::vector<std::string>
+{
+    auto options = std::vector<std::string> { "--operator-key-file", operatorKeyFile(deployment) };
+    for (const auto &name : hosts) {
+        options.insert(options.end(), { "--admin", deployment.host(name).adminAddress_ });
+    }
+    return options;
+}
+
+auto readHostState(const Deployment &deployment, const TestHost &host) -> std::optional<HostState>
+{
+    auto connection = httplib::Client("http://" + host.adminAddress_);
+    connection.set_connection_timeout(answerTimeout);
+    connection.set_read_timeout(answerTimeout);
+    const auto answer = connection.Get("/v1/status", httplib::Headers { { "Authorization", "Bearer " + operatorKey(deployment) } });
+    if (!answer || answer->status != statusOk) {
+        return std::nullopt;
+    }
+    const auto status = Json::parse(answer->body);
+    return HostState { status.at("revision"), status.at("digest"), status.at("ready"), status.at("pending_withdrawals") };
+}
+
+auto storedRevision(const Deployment &deployment) -> std::int64_t
+{
+    const auto entries = readControl(deployment.storeAddress(), "/control/dump").at("entries");
+    if (!entries.contains("head")) {
+        return 0;
+    }
+    return Json::parse(entries.at("head").at("value").get<std::string>()).at("revision");
+}
+
+auto waitForRevision(Deployment &deployment, std::int64_t revision, std::chrono::milliseconds limit) -> std::string
+{
+    const auto deadline = Clock::now() + limit;
+    auto differences = describeDifferences(deployment, revision);
+    while (!differences.empty() && Clock::now() < deadline) {
+        std::this_thread::sleep_for(pollInterval);
+        differences = describeDifferences(deployment, revision);
+    }
+    return differences;
+}
+
+}
--- a/tests/standins/support/storeserver.cpp
+++ b/tests/standins/support/storeserver.cpp
@@ -197,7 +197,7 @@
         changed_.notify_all();
         answer = answerOf(statusOk, Json { { "version", data_.lastVersion_ } });
     }
-    if (faults_.repliesToLose_ > 0) {
+    if (faults_.repliesToLose_ > 0 && afterPrefix(key, faults_.losingPrefix_)) {
         --faults_.repliesToLose_;
         ++counts_["lost_reply"];
         answer.dropped_ = true;
@@ -261,6 +261,7 @@
         faults_.delay_ = milliseconds(body.value("delay_ms", std::int64_t { 0 }));
     } else if (name == "lose-replies") {
         faults_.repliesToLose_ = body.value("count", 1);
+        faults_.losingPrefix_ = body.value("prefix", std::string {});
     } else if (name == "snapshot") {
         snapshot_ = data_;
     } else if (name == "rewind") {
--- a/tests/standins/support/storeserver.h
+++ b/tests/standins/support/storeserver.h
@@ -26,7 +26,8 @@
 
 /**
  * Answers the store protocol under /v1/ and the control calls under /control/:
- * POST outage {"on"}, slow {"delay_ms"}, lose-replies {"count"}, snapshot, rewind, hosts {"hosts", "lag_ms"}; GET counts, dump.
+ * POST outage {"on"}, slow {"delay_ms"}, lose-replies {"count", "prefix"}, snapshot, rewind, hosts {"hosts", "lag_ms"}; GET counts, dump.
+ * Replies are lost for writes to keys with the prefix, which take effect.
  * Control calls are answered during an outage too. Thread-safe.
  */
 class StoreServer
@@ -87,6 +88,7 @@
         bool outage_ = false;
         std::chrono::milliseconds delay_ {};
         int repliesToLose_ = 0;
+        std::string losingPrefix_;
     };
 
     struct KeyCall
