Check the names of rule files in changes

A change could store a file under any name, such as ../a.yaml or one that does not end in .yaml: pull would write it outside the operator's folder, or apply would take it for deleted, as folders are read without hidden and other files. Such names are refused with wrong_rules before anything is written; files may still be removed under any name.

--- a/libraries/connection/configurationstore.cpp
+++ b/libraries/connection/configurationstore.cpp
@@ -78,6 +78,18 @@
     return makeError(checkStep, "", text);
 }
 
+/** Files may be removed under any name, but written only under names that a folder can hold. */
+auto requireNames(const std::vector<FileEdit> &edits) -> Result<void>
+{
+    for (const auto &edit : edits) {
+        if (edit.after_ && !isRuleFileName(edit.name_)) {
+            return makeError(
+                checkStep, "", fmt::format("'{}' is not allowed as a file name; allowed: a relative path without hidden parts that ends in .yaml", edit.name_));
+        }
+    }
+    return {};
+}
+
 /** Creates a chunk. Its key is its digest, so a repeat after a lost reply is harmless. */
 auto createChunk(const StoreFunctions &store, const std::string &digest, const std::string &content) -> Result<void>
 {
@@ -169,6 +181,7 @@
 
 auto applyEdits(const StoreFunctions &store, const std::vector<FileEdit> &edits, const std::string &changeId) -> Result<std::int64_t>
 {
+    BOOST_LEAF_CHECK(requireNames(edits));
     for (auto tries = 0; tries < maximumTries; ++tries) {
         BOOST_LEAF_AUTO(outcome, tryApply(store, edits, changeId));
         if (outcome.revision_) {
--- a/libraries/process/administrationtest.cpp
+++ b/libraries/process/administrationtest.cpp
@@ -189,6 +189,11 @@
     CHECK(reasonOf(client.Post("/v1/withdrawals", R"({"key":"none"})", "application/json")) == "unknown_key");
     CHECK(reasonOf(client.Post("/v1/withdrawals", "{", "application/json")) == "malformed_withdrawal");
     CHECK(reasonOf(client.Post("/v1/changes", R"({"id":"c1","edits":[{"name":1}]})", "application/json")) == "malformed_change");
+    for (const auto *name : { "../a.yaml", "/a.yaml", ".a.yaml", "a.txt" }) {
+        CAPTURE(name);
+        const auto change = nlohmann::json { { "id", "c1" }, { "edits", { { { "name", name }, { "after", "kind: region" } } } } };
+        CHECK(reasonOf(client.Post("/v1/changes", change.dump(), "application/json")) == "wrong_rules");
+    }
     // Nothing listens at the store's address.
     CHECK(reasonOf(client.Post("/v1/changes", R"({"id":"c1","edits":[]})", "application/json")) == "store_unavailable");
     CHECK(client.Post("/v1/withdrawals", R"({"key":"key-2"})", "application/json")->status == 200);
--- a/libraries/version/rulefolder.cpp
+++ b/libraries/version/rulefolder.cpp
@@ -167,6 +167,18 @@
 
 }
 
+auto isRuleFileName(const std::string &name) -> bool
+{
+    const auto path = std::filesystem::path(name);
+    // The normal form tells apart what names the same file in another way, such as "a//b.yaml".
+    if (path.is_absolute() || path.extension() != ".yaml" || path.lexically_normal().generic_string() != name || name.find('\0') != std::string::npos) {
+        return false;
+    }
+    return std::none_of(path.begin(), path.end(), [](const std::filesystem::path &part) {
+        return part.generic_string().rfind('.', 0) == 0;
+    });
+}
+
 auto readRuleFolder(const std::string &folder) -> Result<RuleFiles>
 {
     BOOST_LEAF_AUTO(paths, listRuleFiles(folder));
--- a/libraries/version/rulefolder.h
+++ b/libraries/version/rulefolder.h
@@ -22,6 +22,9 @@
     std::vector<RuleProblem> problems_;
 };
 
+/** Whether a file of this name would be read from a folder: relative, with no hidden part and no "..", and ending in .yaml. */
+[[nodiscard]] auto isRuleFileName(const std::string &name) -> bool;
+
 /** Reads every *.yaml file below the folder, sorted by relative name. Errors: the folder or a file cannot be read. */
 [[nodiscard]] auto readRuleFolder(const std::string &folder) -> Result<RuleFiles>;
 
--- a/libraries/version/rulefoldertest.cpp
+++ b/libraries/version/rulefoldertest.cpp
@@ -191,6 +191,23 @@
     CHECK(problems.front().message_.find("add up to 120%") != std::string::npos);
 }
 
+// Guards against a change whose file would be written outside the folders of operators who pull it, or never be read from them again.
+TEST_CASE("names of rule files stay inside the folder")
+{
+    const auto cases = std::vector<std::pair<std::string, bool>> {
+        { "a.yaml", true },     { "keys.d/a.yaml", true }, { "a..b.yaml", true },
+        { "", false },          { ".yaml", false },        { "a.yml", false },
+        { "a", false },         { "keys.d/", false },      { "/a.yaml", false },
+        { "../a.yaml", false }, { "b/../a.yaml", false },  { "b/../../a.yaml", false },
+        { "./a.yaml", false },  { "b//a.yaml", false },    { ".a.yaml", false },
+        { ".b/a.yaml", false }, { "b/.a.yaml", false },    { std::string("a\0.yaml", 7), false },
+    };
+    for (const auto &[name, expected] : cases) {
+        CAPTURE(name);
+        CHECK(isRuleFileName(name) == expected);
+    }
+}
+
 // Guards against a missing folder being taken for an empty one, which would delete every rule.
 TEST_CASE("readRuleFolder reports a folder that does not exist")
 {
