--- a/libraries/version/rulefoldertest.cpp
+++ b/libraries/version/rulefoldertest.cpp
@@ -202,9 +202,9 @@
         { "./a.yaml", false },  { "b//a.yaml", false },    { ".a.yaml", false },
         { ".b/a.yaml", false }, { "b/.a.yaml", false },    { std::string("a\0.yaml", 7), false },
     };
-    for (const auto &[name, expected] : cases) {
-        CAPTURE(name);
-        CHECK(isRuleFileName(name) == expected);
+    for (const auto &nameCase : cases) {
+        CAPTURE(nameCase.first);
+        CHECK(isRuleFileName(nameCase.first) == nameCase.second);
     }
 }
 
