--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr auto timeoutHeader = "X-Request-Timeout-Ms";
+// Only this process may state it: a backend server trusts it, so a value from the caller must not pass.
+constexpr auto organisationHeader = "X-Organisation";
 
 auto hasBodyByMethod(const std::string &method) -> bool
 {
@@ -23,10 +25,11 @@
 
 auto isSetHere(const std::string &name) -> bool
 {
-    return equalIgnoringCase(name, "content-length") || equalIgnoringCase(name, "expect") || equalIgnoringCase(name, timeoutHeader);
+    return equalIgnoringCase(name, "content-length") || equalIgnoringCase(name, "expect") || equalIgnoringCase(name, timeoutHeader)
+        || equalIgnoringCase(name, organisationHeader);
 }
 
-auto outgoingText(const RequestContent &request, absl::Duration remaining) -> std::string
+auto outgoingText(const RequestContent &request, absl::Duration remaining, const std::string &organisation) -> std::string
 {
     auto outgoing = RequestContent { request.method_, request.target_, {}, request.body_ };
     auto &headers = outgoing.headers_;
@@ -39,6 +42,9 @@
         headers.push_back({ "Content-Length", std::to_string(request.body_.size()) });
     }
     headers.push_back({ timeoutHeader, std::to_string(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(remaining))) });
+    if (!organisation.empty()) {
+        headers.push_back({ organisationHeader, organisation });
+    }
     return requestText(outgoing);
 }
 
@@ -169,7 +175,7 @@
     if (remaining <= absl::ZeroDuration()) {
         return failure(ExchangeStatus::NotSent, "the deadline passed before sending");
     }
-    const auto written = connection.write(outgoingText(request, remaining), call.deadline_);
+    const auto written = connection.write(outgoingText(request, remaining, call.organisation_), call.deadline_);
     if (connection.bytesWritten() == writtenBefore) {
         return failure(ExchangeStatus::NotSent, "the connection took no data");
     }
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -52,6 +52,8 @@
     absl::Duration firstByteLimit_ = absl::InfiniteDuration();
     /** Leaves pooled connections out: what made one of them unresponsive may have done the same to all. */
     bool needsNewConnection_ = false;
+    /** Organisation that the backend server is told; empty on open routes. */
+    std::string organisation_ = {};
 };
 
 /** The result of an exchange. */
