Say not run only where no earlier sending can have run; reconnect to the store after a failure

Cause: a refusal says "not-run" for one sending, while an earlier sending with the same idempotency key may have run through another host. A host that could not read the claim (store out, knowledge stale, too many reads) answered not-run for a request that had run. Ruled out: refusing first and reading the claim later, which needs the store that is out. Now such refusals are "unknown" unless this host owns the key's run token and has not seen the key, or has read the claim.

A failed store call closes the other idle connections: a restart of the store ends all of them, and each claim after it would fail once.

--- a/libraries/connection/storeclient.cpp
+++ b/libraries/connection/storeclient.cpp
@@ -123,6 +123,14 @@
         }
     }
 
+    /** Closes the idle connections: what ended one of them, such as a restart of the store, has mostly ended them all. */
+    auto closeIdle() -> void
+    {
+        auto closed = std::vector<std::unique_ptr<httplib::Client>> {};
+        const auto lock = absl::MutexLock(&mutex_);
+        closed.swap(idle_);
+    }
+
     /**
      * Sends a request and returns the status and the parsed body. After a failure the connection is closed, since a late answer on it
      * would be taken for the answer of a later call.
@@ -134,6 +142,7 @@
         auto answer = connection->send(request);
         const auto uncertainty = isWrite ? noteWriteUncertain : "";
         if (!answer) {
+            closeIdle();
             // Without a connection nothing was sent, so a write certainly did not happen.
             const auto note = answer.error() == httplib::Error::Connection ? "" : uncertainty;
             return makeError(step, settings_.address_, fmt::format("no answer from the store: {}{}", httplib::to_string(answer.error()), note));
--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -155,7 +155,7 @@
     auto discard(CallerConnection &connection) -> Next;
     auto serveRequest(CallerConnection &connection) -> Next;
     auto answer(CallerConnection &connection, const std::string &method, const httplib::Response &response, bool close) -> Next;
-    auto refuse(CallerConnection &connection, Refusal refusal) -> Next;
+    auto refuse(CallerConnection &connection, Refusal refusal, Outcome outcome = Outcome::NotRun) -> Next;
     auto limitOf(const CallerConnection &connection) const -> absl::Duration;
     auto closeWaiting(absl::Time now, bool allQuiet) -> void;
 
@@ -348,7 +348,8 @@
         return answer(connection, content.method_, response, reader.closesConnection());
     }
     if (busy_.load() > settings_.maximumRequests_) {
-        return refuse(connection, Refusal::Overloaded);
+        // An earlier sending with the same idempotency key may have run, and a thread to find out is what is missing.
+        return refuse(connection, Refusal::Overloaded, headerCount(content.headers_, "Idempotency-Key") > 0 ? Outcome::Unknown : Outcome::NotRun);
     }
     if (reader.hasBody()) {
         const auto status = reader.readBody(functions_.bodyLimit_(request), deadline);
@@ -377,10 +378,10 @@
 }
 
 // The rest of the request has not been read, so the connection cannot be used again.
-auto CallerServer::State::refuse(CallerConnection &connection, Refusal refusal) -> Next
+auto CallerServer::State::refuse(CallerConnection &connection, Refusal refusal, Outcome outcome) -> Next
 {
     auto response = httplib::Response {};
-    setRefusal(response, refusal, "");
+    setRefusal(response, refusal, outcome, "");
     return answer(connection, "GET", response, true);
 }
 
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -73,6 +73,8 @@
     DispatchResult dispatched_;
     bool replayed_ = false;
     bool forwarded_ = false;
+    /** An earlier sending with the same idempotency key may have run; a refusal then cannot say that the request did not run. */
+    bool mayHaveRunBefore_ = false;
 };
 
 auto isSafeMethod(const std::string &method) -> bool
@@ -127,12 +129,12 @@
     return answer;
 }
 
-auto refusalAnswer(Refusal refusal, const std::string &requestId) -> Answer
+auto refusalAnswer(Refusal refusal, Outcome outcome, const std::string &requestId) -> Answer
 {
     const auto &description = describeRefusal(refusal);
-    auto answer = Answer { description.status_, {}, refusalBody(refusal, requestId) };
+    auto answer = Answer { description.status_, {}, refusalBody(refusal, outcome, requestId) };
     answer.headers_.push_back({ "Content-Type", "application/json" });
-    answer.headers_.push_back({ outcomeHeader, std::string(outcomeName(description.outcome_)) });
+    answer.headers_.push_back({ outcomeHeader, std::string(outcomeName(outcome)) });
     answer.headers_.push_back({ reasonHeader, std::string(description.name_) });
     answer.headers_.push_back({ requestIdHeader, requestId });
     if (refusal == Refusal::RateExceeded) {
@@ -141,6 +143,29 @@
     return answer;
 }
 
+// These refusals follow from the request as it was sent, so no sending of the same request has run.
+auto concernsRequestAlone(Refusal refusal) -> bool
+{
+    constexpr auto refusals = std::array {
+        Refusal::NoRoute,
+        Refusal::KeyMissing,
+        Refusal::KeyAmbiguous,
+        Refusal::KeyInContent,
+        Refusal::IdempotencyKeyRequired,
+        Refusal::IdempotencyKeyInvalid,
+        Refusal::BodyTooLarge,
+        Refusal::MalformedRequest,
+    };
+    return std::find(refusals.begin(), refusals.end(), refusal) != refusals.end();
+}
+
+auto outcomeOf(Refusal refusal, const RequestState &state) -> Outcome
+{
+    const auto outcome = describeRefusal(refusal).outcome_;
+    const auto isUncertain = outcome == Outcome::NotRun && state.mayHaveRunBefore_ && !concernsRequestAlone(refusal);
+    return isUncertain ? Outcome::Unknown : outcome;
+}
+
 auto setAnswer(httplib::Response &response, Answer answer) -> void
 {
     response.status = answer.status_;
@@ -337,6 +362,7 @@
     }
     if (!state.repeatable_) {
         state.original_ = state.content_;
+        state.mayHaveRunBefore_ = headerCount(state.content_.headers_, idempotencyHeader) > 0;
     }
     const auto unidentified = identify(state);
     if (unidentified) {
@@ -375,6 +401,8 @@
     if (wallTime > token.expiry_ && !once_.contains(once)) {
         return Refusal::RunEnded;
     }
+    // Only this run may execute the key, so a key that is not in the table has not run.
+    state.mayHaveRunBefore_ = once_.contains(once);
     return runOnce(state, once, nullptr);
 }
 
@@ -390,11 +418,14 @@
         isAttempted = true;
         const auto result = claimInStore(*services_.store_, claim);
         isClaimed = result.status_ == ClaimStatus::Claimed;
+        state.mayHaveRunBefore_ = !isClaimed;
         return endOf(result, state);
     });
     if (!isAttempted && isRefusedUnclaimed(served) && mayReadClaim()) {
         const auto found = findInStore(*services_.store_, claim);
-        return found ? endOf(*found, state).value_or(std::move(served)) : std::move(served);
+        state.mayHaveRunBefore_ = found.has_value();
+        const auto isRead = found && found->status_ != ClaimStatus::Unavailable;
+        return isRead ? endOf(*found, state).value_or(std::move(served)) : std::move(served);
     }
     if (!isClaimed) {
         return served;
@@ -513,7 +544,8 @@
     inFlight_.fetch_add(1, std::memory_order_relaxed);
     auto served = serve(state);
     const auto *refusal = std::get_if<Refusal>(&served);
-    auto answer = refusal != nullptr ? refusalAnswer(*refusal, state.requestId_) : answerForCaller(std::get<Answer>(std::move(served)), state);
+    auto answer = refusal != nullptr ? refusalAnswer(*refusal, outcomeOf(*refusal, state), state.requestId_)
+                                     : answerForCaller(std::get<Answer>(std::move(served)), state);
     log(state, answer, refusal);
     inFlight_.fetch_sub(1, std::memory_order_relaxed);
     return answer;
@@ -645,9 +677,9 @@
     state_->dispatcher_.reportHealth(monotonicNow(), backend, report);
 }
 
-auto setRefusal(httplib::Response &response, Refusal refusal, const std::string &requestId) -> void
+auto setRefusal(httplib::Response &response, Refusal refusal, Outcome outcome, const std::string &requestId) -> void
 {
-    setAnswer(response, refusalAnswer(refusal, requestId));
+    setAnswer(response, refusalAnswer(refusal, outcome, requestId));
 }
 
 }
--- a/libraries/process/requesthandler.h
+++ b/libraries/process/requesthandler.h
@@ -82,6 +82,6 @@
 };
 
 /** Writes a refusal into a response, with its outcome, reason and body. */
-auto setRefusal(httplib::Response &response, Refusal refusal, const std::string &requestId) -> void;
+auto setRefusal(httplib::Response &response, Refusal refusal, Outcome outcome, const std::string &requestId) -> void;
 
 }
--- a/libraries/process/storeclaims.cpp
+++ b/libraries/process/storeclaims.cpp
@@ -110,7 +110,10 @@
         return store.get(claim.storeKey_);
     });
     const auto *entry = std::get_if<StoreEntry>(&read);
-    if (entry == nullptr || entry->version_ == 0) {
+    if (entry == nullptr) {
+        return ClaimResult { ClaimStatus::Unavailable, {} };
+    }
+    if (entry->version_ == 0) {
         return std::nullopt;
     }
     const auto record = parseClaim(entry->value_);
--- a/libraries/process/storeclaims.h
+++ b/libraries/process/storeclaims.h
@@ -47,7 +47,7 @@
 /** Claims a key by create-if-absent. After a lost reply the claim is read; a claim of another request is never taken over. */
 [[nodiscard]] auto claimInStore(StoreClient &store, Claim &claim) -> ClaimResult;
 
-/** What came of an earlier request with this key, without a claim of the key. None when there is no claim, or when the store doesn't say. */
+/** What came of an earlier request with this key, without a claim of the key. None when there is no claim; Unavailable when the store gives no answer. */
 [[nodiscard]] auto findInStore(StoreClient &store, Claim &claim) -> std::optional<ClaimResult>;
 
 /** Gives a claim back whose request has certainly not run. Failures are ignored; the key then stays claimed until its time to live ends. */
--- a/libraries/request/refusal.cpp
+++ b/libraries/request/refusal.cpp
@@ -83,12 +83,12 @@
     return std::nullopt;
 }
 
-auto refusalBody(Refusal refusal, std::string_view requestId) -> std::string
+auto refusalBody(Refusal refusal, Outcome outcome, std::string_view requestId) -> std::string
 {
     const auto &description = describeRefusal(refusal);
     const auto body = nlohmann::ordered_json {
         { "reason", description.name_ },
-        { "outcome", outcomeName(description.outcome_) },
+        { "outcome", outcomeName(outcome) },
         { "message", description.text_ },
         { "request_id", requestId },
     };
--- a/libraries/request/refusal.h
+++ b/libraries/request/refusal.h
@@ -71,6 +71,6 @@
 [[nodiscard]] auto refusalByName(std::string_view name) -> std::optional<Refusal>;
 
 /** The JSON body of a refusal. */
-[[nodiscard]] auto refusalBody(Refusal refusal, std::string_view requestId) -> std::string;
+[[nodiscard]] auto refusalBody(Refusal refusal, Outcome outcome, std::string_view requestId) -> std::string;
 
 }
--- a/tests/standins/support/faultproxy.h
+++ b/tests/standins/support/faultproxy.h
@@ -75,6 +75,7 @@
     auto changeFaults(const Selection &selection, const std::function<void(LinkFaults &)> &change) -> int;
     auto silence(const Selection &selection) -> int;
     auto changeLinks(const std::vector<std::string> &patterns, const std::function<void(Link &)> &change) -> int;
+    auto reopen(Link &link) -> void;
     auto acceptLoop(Link &link) -> void;
     /** The faults that apply to a connection; none when it is to be reset. */
     auto faultsOf(const Link &link, const Connection &connection) -> std::optional<LinkFaults>;
