Keep the lookup answer alive while the rate test reads its hosts

Cause: the test iterated over a member of a JSON value that had been destroyed, saw no hosts and sent nothing, so nothing was admitted. Ruled out: the fault proxy and the daemons (a lookup by hand took under 1 ms), and slow lookups.

--- a/tests/integration/ratetest.cpp
+++ b/tests/integration/ratetest.cpp
@@ -78,7 +78,8 @@
             const auto answer = caller_.send(host->address_, request);
             if (answer.status_ == 200) {
                 entry.hosts_.clear();
-                for (const auto &found : nlohmann::json::parse(answer.body_).at("hosts")) {
+                const auto body = nlohmann::json::parse(answer.body_);
+                for (const auto &found : body.at("hosts")) {
                     entry.hosts_.push_back(found.at("address").get<std::string>());
                 }
                 entry.at_ = Clock::now();
@@ -136,6 +137,17 @@
     }));
 }
 
+/** How many calls ended in which way. */
+auto summaryOf(const std::vector<CallRecord> &records) -> std::string
+{
+    auto counts = std::map<std::string, int> {};
+    for (const auto &record : records) {
+        const auto &answer = record.answer_;
+        counts[answer.answered_ ? answer.outcome_ + " " + answer.reason_ : answer.error_] += 1;
+    }
+    return nlohmann::json(counts).dump();
+}
+
 auto organisationRule(const Offer &offer) -> std::string
 {
     return fmt::format("kind: organisation\nname: {}\nrate: {}/s\nburst: {}\nweight: 1\n", offer.name_, offer.rate_, offer.burst_);
@@ -206,6 +218,7 @@
     const auto end = Clock::now();
 
     const auto records = caller.records();
+    MESSAGE("calls by end: " << summaryOf(records));
     const auto check = [&](const Offer &offer, Clock::time_point from, Clock::time_point to) {
         const auto spans = admittedSpans(records, offer.name_, from, to);
         const auto excess = largestExcess(spans, offer.rate_, offer.burst_);
--- a/tests/integration/shiftcaptest.cpp
+++ b/tests/integration/shiftcaptest.cpp
@@ -121,7 +121,7 @@
     for (auto round = 0; round < 3; ++round) {
         auto busy = std::vector<std::thread> {};
         for (auto index = 0; index < 2 * settings.slots_; ++index) {
-            busy.emplace_back([&, index] {
+            busy.emplace_back([&] {
                 auto request = CallerRequest {};
                 request.path_ = "/busy";
                 request.key_ = key;
