Parse addresses in one place

Rule files and the store client had parsers of their own beside parseSocketAddress. The table of accepted and refused texts is unchanged and passes.

--- a/libraries/connection/storeclient.cpp
+++ b/libraries/connection/storeclient.cpp
@@ -1,12 +1,13 @@
 #include "connection/storeclient.h"
 
+#include "core/socketaddress.h"
+
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 #include <fmt/format.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -30,23 +31,6 @@
 
 constexpr auto noteWriteUncertain = "; the write may have taken effect";
 
-struct StoreAddress
-{
-    std::string host_;
-    int port_ = 0;
-};
-
-auto parseAddress(const std::string &address) -> StoreAddress
-{
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return StoreAddress { address, 0 };
-    }
-    auto port = 0;
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    return StoreAddress { address.substr(0, colon), port };
-}
-
 auto isUnreserved(unsigned char character) -> bool
 {
     const auto isLetter = (character >= 'A' && character <= 'Z') || (character >= 'a' && character <= 'z');
@@ -96,7 +80,7 @@
 {
     explicit Connections(StoreSettings settings)
         : settings_(std::move(settings))
-        , address_(parseAddress(settings_.address_))
+        , address_(parseSocketAddress(settings_.address_).value_or(SocketAddress { settings_.address_, 0 }))
     {
     }
 
@@ -165,7 +149,7 @@
 private:
     [[nodiscard]] auto open() const -> std::unique_ptr<httplib::Client>
     {
-        auto connection = std::make_unique<httplib::Client>(address_.host_, address_.port_);
+        auto connection = std::make_unique<httplib::Client>(address_.ip_, address_.port_);
         const auto timeout = absl::ToChronoMicroseconds(settings_.timeout_);
         connection->set_connection_timeout(timeout);
         connection->set_read_timeout(timeout);
@@ -180,7 +164,7 @@
     }
 
     const StoreSettings settings_;
-    const StoreAddress address_;
+    const SocketAddress address_;
     absl::Mutex mutex_;
     std::vector<std::unique_ptr<httplib::Client>> idle_ ABSL_GUARDED_BY(mutex_);
 };
--- a/libraries/version/fieldreader.cpp
+++ b/libraries/version/fieldreader.cpp
@@ -1,6 +1,6 @@
 #include "version/fieldreader.h"
 
-#include "version/endpoint.h"
+#include "core/socketaddress.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
@@ -75,7 +75,7 @@
 auto FieldReader::address(const std::string &field) -> std::string
 {
     return parsed<std::string>(field, std::nullopt, "an IP address and port such as 127.0.0.1:8080", [](const std::string &raw) {
-        return isEndpoint(raw) ? std::optional(raw) : std::nullopt;
+        return parseSocketAddress(raw) ? std::optional(raw) : std::nullopt;
     });
 }
 
--- a/libraries/version/unitstest.cpp
+++ b/libraries/version/unitstest.cpp
@@ -1,6 +1,6 @@
 #include "version/units.h"
 
-#include "version/endpoint.h"
+#include "core/socketaddress.h"
 
 #include <doctest/doctest.h>
 
@@ -76,7 +76,7 @@
 }
 
 // Guards against host names, which would need a resolver on the request path, and against ports out of range.
-TEST_CASE("isEndpoint accepts an IP address and port only")
+TEST_CASE("parseSocketAddress accepts an IP address and port only")
 {
     const auto cases = std::vector<EndpointCase> {
         { "127.0.0.1:8080", true },   { "[::1]:8080", true },    { "127.0.0.1", false }, { "127.0.0.1:0", false },
@@ -84,6 +84,6 @@
     };
     for (const auto &endpointCase : cases) {
         CAPTURE(endpointCase.text_);
-        CHECK(isEndpoint(endpointCase.text_) == endpointCase.expected_);
+        CHECK(parseSocketAddress(endpointCase.text_).has_value() == endpointCase.expected_);
     }
 }
