Use attempt for peer loans and one constant for the idempotency header

The loan calls converted errors with a copy of attempt, and the caller server repeated the name of the Idempotency-Key header.

--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "process/requesthandler.h"
 #include "request/refusal.h"
+#include "request/runtoken.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -349,7 +350,7 @@
     }
     if (busy_.load() > settings_.maximumRequests_) {
         // An earlier sending with the same idempotency key may have run, and a thread to find out is what is missing.
-        return refuse(connection, Refusal::Overloaded, headerCount(content.headers_, "Idempotency-Key") > 0 ? Outcome::Unknown : Outcome::NotRun);
+        return refuse(connection, Refusal::Overloaded, headerCount(content.headers_, idempotencyHeader) > 0 ? Outcome::Unknown : Outcome::NotRun);
     }
     if (reader.hasBody()) {
         const auto status = reader.readBody(functions_.bodyLimit_(request), deadline);
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -32,7 +32,6 @@
 {
 
 constexpr auto requestIdHeader = "X-Request-Id";
-constexpr auto idempotencyHeader = "Idempotency-Key";
 constexpr auto timeoutHeader = "X-Request-Timeout-Ms";
 
 // Each key costs about 200 bytes beside its answer; a host at 1,000 keyed writes a second fills this in three minutes.
--- a/libraries/process/sharekeeperpeers.cpp
+++ b/libraries/process/sharekeeperpeers.cpp
@@ -18,14 +18,9 @@
 template<typename Value, typename Call>
 auto valueOf(Call &&call) -> std::optional<Value>
 {
-    return boost::leaf::try_handle_all(
-        [&]() -> Result<std::optional<Value>> {
-            BOOST_LEAF_AUTO(value, call());
-            return std::optional<Value> { std::move(value) };
-        },
-        []() -> std::optional<Value> {
-            return std::nullopt;
-        });
+    auto outcome = attempt(std::forward<Call>(call));
+    auto *value = std::get_if<Value>(&outcome);
+    return value == nullptr ? std::nullopt : std::optional<Value> { std::move(*value) };
 }
 
 auto lendingThrough(PeerClients *peers, const std::string &hostName) -> PeerLending
--- a/libraries/request/runtoken.h
+++ b/libraries/request/runtoken.h
@@ -11,6 +11,9 @@
 namespace lycheecleat
 {
 
+/** Header that carries an idempotency key. */
+inline constexpr auto idempotencyHeader = "Idempotency-Key";
+
 /** A run token. */
 struct RunToken
 {
