--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -14,36 +14,39 @@
 namespace
 {
 
-constexpr auto timeoutHeader = "X-Request-Timeout-Ms";
-// Only this process may state it: a backend server trusts it, so a value from the caller must not pass.
-constexpr auto organisationHeader = "X-Organisation";
+/** Responses to other requests that are skipped on a connection before it is given up. */
+constexpr auto maximumStrayResponses = 3;
 
 auto hasBodyByMethod(const std::string &method) -> bool
 {
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
-auto isSetHere(const std::string &name) -> bool
+// Only this process may state these: a backend server trusts them, so a value from the caller must not pass.
+auto isSetHere(const BackendHeaders &names, const std::string &name) -> bool
 {
-    return equalIgnoringCase(name, "content-length") || equalIgnoringCase(name, "expect") || equalIgnoringCase(name, timeoutHeader)
-        || equalIgnoringCase(name, organisationHeader);
+    return equalIgnoringCase(name, "content-length") || equalIgnoringCase(name, "expect") || equalIgnoringCase(name, names.deadline_)
+        || equalIgnoringCase(name, names.organisation_) || (!names.expectedInstance_.empty() && equalIgnoringCase(name, names.expectedInstance_));
 }
 
-auto outgoingText(const RequestContent &request, absl::Duration remaining, const std::string &organisation) -> std::string
+auto outgoingText(const BackendHeaders &names, const RequestContent &request, const BackendCall &call, absl::Duration remaining) -> std::string
 {
     auto outgoing = RequestContent { request.method_, request.target_, {}, request.body_ };
     auto &headers = outgoing.headers_;
     for (auto &header : withoutHopByHopHeaders(request.headers_)) {
-        if (!isSetHere(header.name_)) {
+        if (!isSetHere(names, header.name_)) {
             headers.push_back(std::move(header));
         }
     }
     if (!request.body_.empty() || hasBodyByMethod(request.method_)) {
         headers.push_back({ "Content-Length", std::to_string(request.body_.size()) });
     }
-    headers.push_back({ timeoutHeader, std::to_string(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(remaining))) });
-    if (!organisation.empty()) {
-        headers.push_back({ organisationHeader, organisation });
+    headers.push_back({ names.deadline_, std::to_string(std::max<std::int64_t>(1, absl::ToInt64Milliseconds(remaining))) });
+    if (!call.organisation_.empty()) {
+        headers.push_back({ names.organisation_, call.organisation_ });
+    }
+    if (!names.expectedInstance_.empty() && !call.expectedInstance_.empty()) {
+        headers.push_back({ names.expectedInstance_, call.expectedInstance_ });
     }
     return requestText(outgoing);
 }
@@ -72,6 +75,8 @@
         return failure(ExchangeStatus::Incomplete, "response too large");
     case MessageStatus::Undelimited:
         return failure(ExchangeStatus::Incomplete, "undelimited response");
+    case MessageStatus::Abandoned:
+        return failure(ExchangeStatus::Abandoned, "the caller left");
     case MessageStatus::Malformed:
     case MessageStatus::Whole:
         return failure(ExchangeStatus::Incomplete, "malformed response");
@@ -90,6 +95,8 @@
         return failure(ExchangeStatus::Ended, "connection closed without a response");
     case TransferStatus::Failed:
         return failure(ExchangeStatus::Ended, "connection reset without a response");
+    case TransferStatus::Abandoned:
+        return failure(ExchangeStatus::Abandoned, "the caller left");
     case TransferStatus::TimedOut:
         break;
     }
@@ -105,12 +112,30 @@
     bool reusable_ = false;
 };
 
-auto receive(TcpConnection &connection, const BackendPoolSettings &settings, const std::string &method, absl::Time deadline) -> ReceivedResponse
+// A backend server may send a second response to an earlier request, which would be taken for the response to this one.
+auto isStray(const BackendPoolSettings &settings, const BackendCall &call, const IncomingResponse &response) -> bool
+{
+    if (settings.headers_.requestId_.empty() || call.requestId_.empty()) {
+        return false;
+    }
+    return headerValue(response.answer_.headers_, settings.headers_.requestId_) != call.requestId_;
+}
+
+auto receive(TcpConnection &connection, const BackendPoolSettings &settings, const BackendCall &call, const std::string &method) -> ReceivedResponse
 {
+    const auto limits = ResponseLimits { settings.maximumResponseHead_, settings.maximumResponseBody_, settings.acceptsUndelimited_ };
     auto response = IncomingResponse {};
-    const auto status = readResponse(connection, method, { settings.maximumResponseHead_, settings.maximumResponseBody_ }, deadline, response);
-    if (status != MessageStatus::Whole) {
-        return { failureOf(status) };
+    for (auto stray = 0; stray <= maximumStrayResponses; ++stray) {
+        const auto status = readResponse(connection, method, limits, call.deadline_, response);
+        if (status != MessageStatus::Whole) {
+            return { failureOf(status) };
+        }
+        if (!isStray(settings, call, response)) {
+            break;
+        }
+        if (response.closesConnection_ || stray == maximumStrayResponses) {
+            return { failure(ExchangeStatus::Incomplete, "response to another request") };
+        }
     }
     auto received = ReceivedResponse {};
     received.exchange_.status_ = ExchangeStatus::Whole;
@@ -145,12 +170,14 @@
         return "timed-out";
     case ExchangeStatus::Silent:
         return "silent";
+    case ExchangeStatus::Abandoned:
+        return "abandoned";
     }
     return "incomplete";
 }
 
 BackendPool::BackendPool(BackendPoolSettings settings)
-    : settings_(settings)
+    : settings_(std::move(settings))
 {
 }
 
@@ -175,7 +202,8 @@
     if (remaining <= absl::ZeroDuration()) {
         return failure(ExchangeStatus::NotSent, "the deadline passed before sending");
     }
-    const auto written = connection.write(outgoingText(request, remaining, call.organisation_), call.deadline_);
+    const auto written = connection.write(outgoingText(settings_.headers_, request, call, remaining), call.deadline_);
+    connection.watchCaller(call.callerSocket_);
     if (connection.bytesWritten() == writtenBefore) {
         return failure(ExchangeStatus::NotSent, "the connection took no data");
     }
@@ -186,7 +214,7 @@
     if (early) {
         received.exchange_ = *early;
     } else {
-        received = receive(connection, settings_, request.method_, call.deadline_);
+        received = receive(connection, settings_, call, request.method_);
     }
     received.exchange_.connectionReused_ = reused;
     received.exchange_.wasIdleForLong_ = idleFor > settings_.strictIdleLimit_;
@@ -197,6 +225,7 @@
     }
     if (received.reusable_ && written == TransferStatus::Done && connection.isQuiet()) {
         idle->idleSince_ = monotonicNow();
+        connection.watchCaller(-1);
         keepIdle(call.address_, std::move(*idle));
     }
     return std::move(received.exchange_);
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -34,6 +34,8 @@
     TimedOut,
     /** No byte of a response came within the first-byte limit. */
     Silent,
+    /** The caller left before the response was whole. */
+    Abandoned,
 };
 
 /** Name of an exchange status for log lines. */
@@ -54,6 +56,23 @@
     bool needsNewConnection_ = false;
     /** Organisation that the backend server is told; empty on open routes. */
     std::string organisation_ = {};
+    /** Socket of the caller; the exchange ends once it is closed. -1 when the response is wanted in any case. */
+    int callerSocket_ = -1;
+    /** Identifier of the backend server for which the request is meant; another one at the address must reject it. */
+    std::string expectedInstance_ = {};
+    /** Value of the request identifier header that the response must echo; empty when none is expected. */
+    std::string requestId_ = {};
+};
+
+/** Headers that this process sets on requests to backend servers. A caller's value is removed. */
+struct BackendHeaders
+{
+    std::string deadline_ = "X-Request-Timeout-Ms";
+    std::string organisation_ = "X-Organisation";
+    /** Names the backend server for which a request is meant; empty when the protocol has none. */
+    std::string expectedInstance_;
+    /** Identifies a request, and is echoed in its response; empty when the protocol does not echo it. */
+    std::string requestId_;
 };
 
 /** The result of an exchange. */
@@ -82,6 +101,9 @@
     std::size_t maximumIdlePerServer_ = 64;
     std::size_t maximumResponseHead_ = std::size_t { 64 } * 1024;
     std::size_t maximumResponseBody_ = std::size_t { 64 } * 1024 * 1024;
+    /** Takes a response body that ends with its connection as whole. */
+    bool acceptsUndelimited_ = false;
+    BackendHeaders headers_ = {};
 };
 
 /** Keeps idle connections by backend server address. Never sends a request twice. Thread-safe. */
--- /dev/null
+++ b/libraries/connection/fleetpeers.cpp
@@ -0,0 +1,100 @@
+#include "connection/fleetpeers.h"
+
+#include "core/socketaddress.h"
+#include "generated/Fleet.h"
+
+#include <thrift/TOutput.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <memory>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TFramedTransport;
+using apache::thrift::transport::TMemoryBuffer;
+using apache::thrift::transport::TSocket;
+
+}
+
+auto encodeGossip(const fleet::Gossip &gossip) -> std::string
+{
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    auto protocol = TCompactProtocol(buffer);
+    gossip.write(&protocol);
+    return buffer->getBufferAsString();
+}
+
+auto decodeGossip(const std::string &data) -> std::optional<fleet::Gossip>
+{
+    auto bytes = data;
+    const auto buffer = std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(bytes.data()), static_cast<std::uint32_t>(bytes.size()));
+    auto protocol = TCompactProtocol(buffer);
+    auto gossip = fleet::Gossip {};
+    try {
+        gossip.read(&protocol);
+    } catch (const apache::thrift::TException &) {
+        return std::nullopt;
+    }
+    return gossip;
+}
+
+auto toMessage(const RecordBatch &batch) -> fleet::Records
+{
+    auto message = fleet::Records {};
+    message.asOf = batch.asOf_;
+    message.full = batch.isFull_;
+    for (const auto &record : batch.records_) {
+        auto &added = message.records.emplace_back();
+        added.kind = static_cast<std::int8_t>(record.kind_);
+        added.name = record.name_;
+        added.revision = record.revision_;
+        added.removed = record.isRemoved_;
+        added.value = record.value_;
+    }
+    return message;
+}
+
+auto fromMessage(const fleet::Records &message) -> RecordBatch
+{
+    auto batch = RecordBatch { message.asOf, message.full, {} };
+    for (const auto &record : message.records) {
+        batch.records_.push_back({ static_cast<RecordKind>(record.kind), record.name, record.revision, record.removed, record.value });
+    }
+    return batch;
+}
+
+auto fetchRecords(const std::string &peerAddress, std::int64_t afterRevision, absl::Duration timeout) -> Result<RecordBatch>
+{
+    const auto address = parseSocketAddress(peerAddress);
+    if (!address) {
+        return makeError("fetch records", peerAddress, "is not an IP address with a port");
+    }
+    // Thrift prints each failed connection itself; the failure is returned as an error here.
+    apache::thrift::GlobalOutput.setOutputFunction([](const char *) {});
+    const auto socket = std::make_shared<TSocket>(address->ip_, address->port_);
+    const auto milliseconds = static_cast<int>(absl::ToInt64Milliseconds(timeout));
+    socket->setConnTimeout(milliseconds);
+    socket->setSendTimeout(milliseconds);
+    socket->setRecvTimeout(milliseconds);
+    const auto framed = std::make_shared<TFramedTransport>(socket);
+    auto client = fleet::FleetClient(std::make_shared<TBinaryProtocol>(framed));
+    try {
+        framed->open();
+        auto message = fleet::Records {};
+        client.fetchRecords(message, afterRevision);
+        return fromMessage(message);
+    } catch (const apache::thrift::TException &exception) {
+        return makeError("fetch records", peerAddress, exception.what());
+    }
+}
+
+}
--- a/libraries/connection/httpmessage.cpp
+++ b/libraries/connection/httpmessage.cpp
@@ -51,6 +51,8 @@
         return MessageStatus::Failed;
     case TransferStatus::TimedOut:
         return MessageStatus::TimedOut;
+    case TransferStatus::Abandoned:
+        return MessageStatus::Abandoned;
     }
     return MessageStatus::Failed;
 }
@@ -171,6 +173,25 @@
     return MessageStatus::Whole;
 }
 
+// The body of a response without a length ends with the connection, unless that is reset.
+auto readUntilEnd(TcpConnection &connection, std::size_t limit, absl::Time deadline, std::string &body) -> MessageStatus
+{
+    while (true) {
+        body.append(connection.buffered());
+        connection.consume(connection.buffered().size());
+        if (body.size() > limit) {
+            return MessageStatus::BodyTooLarge;
+        }
+        const auto status = connection.fill(deadline);
+        if (status == TransferStatus::Closed) {
+            return MessageStatus::Whole;
+        }
+        if (status != TransferStatus::Done) {
+            return statusOfTransfer(status);
+        }
+    }
+}
+
 auto readOneResponse(TcpConnection &connection, const std::string &method, ResponseLimits limits, absl::Time deadline, IncomingResponse &response)
     -> MessageStatus
 {
@@ -189,7 +210,7 @@
     response.isBodyless_ = method == "HEAD" || answer.status_ == noContentStatus || answer.status_ == notModifiedStatus;
     response.closesConnection_ = !parser.keep_alive();
     if (parser.need_eof()) {
-        return MessageStatus::Undelimited;
+        return limits.acceptsUndelimited_ ? readUntilEnd(connection, limits.body_, deadline, answer.body_) : MessageStatus::Undelimited;
     }
     if (!response.isBodyless_ && parser.content_length().value_or(0) > limits.body_) {
         return MessageStatus::BodyTooLarge;
--- a/libraries/connection/httpmessage.h
+++ b/libraries/connection/httpmessage.h
@@ -29,6 +29,8 @@
     /** The connection was reset or has another fault. */
     Failed,
     TimedOut,
+    /** The caller that waits for the message has left. */
+    Abandoned,
     Malformed,
     /** Only the end of the connection would end the body, which a crash of the sender looks like too. */
     Undelimited,
@@ -73,6 +75,8 @@
 {
     std::size_t head_ = 0;
     std::size_t body_ = 0;
+    /** Takes a body that only the orderly end of its connection delimits as whole. */
+    bool acceptsUndelimited_ = false;
 };
 
 /** A response as it came. */
--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -27,22 +27,22 @@
 // Bounds one poll call, so that a far deadline fits its millisecond argument.
 constexpr auto longestWait = absl::Minutes(10);
 
-// Waits until the socket is ready; false when the deadline has passed.
-auto waitFor(int socket, short events, absl::Time deadline) -> bool
+// Waits until the socket is ready (Done) or the watched caller has left; a negative caller is not watched.
+auto waitFor(int socket, short events, absl::Time deadline, int caller = -1) -> TransferStatus
 {
     while (true) {
         const auto remaining = std::min(deadline - monotonicNow(), longestWait);
         if (remaining <= absl::ZeroDuration()) {
-            return false;
+            return TransferStatus::TimedOut;
         }
-        auto descriptor = pollfd { socket, events, 0 };
+        auto descriptors = std::array { pollfd { socket, events, 0 }, pollfd { caller, POLLRDHUP, 0 } };
         const auto milliseconds = static_cast<int>(absl::ToInt64Milliseconds(absl::Ceil(remaining, absl::Milliseconds(1))));
-        const auto ready = poll(&descriptor, 1, milliseconds);
+        const auto ready = poll(descriptors.data(), descriptors.size(), milliseconds);
         if (ready > 0) {
-            return true;
+            return descriptors[0].revents != 0 ? TransferStatus::Done : TransferStatus::Abandoned;
         }
         if (ready < 0 && errno != EINTR) {
-            return false;
+            return TransferStatus::TimedOut;
         }
     }
 }
@@ -88,6 +88,7 @@
 
 TcpConnection::TcpConnection(TcpConnection &&other) noexcept
     : socket_(std::exchange(other.socket_, -1))
+    , watchedCaller_(other.watchedCaller_)
     , bytesWritten_(other.bytesWritten_)
     , consumed_(other.consumed_)
     , buffer_(std::move(other.buffer_))
@@ -97,6 +98,7 @@
 auto TcpConnection::operator=(TcpConnection &&other) noexcept -> TcpConnection &
 {
     std::swap(socket_, other.socket_);
+    std::swap(watchedCaller_, other.watchedCaller_);
     std::swap(bytesWritten_, other.bytesWritten_);
     std::swap(consumed_, other.consumed_);
     std::swap(buffer_, other.buffer_);
@@ -123,7 +125,7 @@
     if (errno != EINPROGRESS) {
         return makeError("connect", address, describeErrno(errno));
     }
-    if (!waitFor(connection.socket_, POLLOUT, deadline)) {
+    if (waitFor(connection.socket_, POLLOUT, deadline) != TransferStatus::Done) {
         return makeError("connect", address, "no answer in time");
     }
     auto code = 0;
@@ -150,7 +152,7 @@
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
             return TransferStatus::Failed;
         }
-        if (!waitFor(socket_, POLLOUT, deadline)) {
+        if (waitFor(socket_, POLLOUT, deadline) != TransferStatus::Done) {
             return TransferStatus::TimedOut;
         }
     }
@@ -168,12 +170,18 @@
         if (status != TransferStatus::TimedOut) {
             return status;
         }
-        if (!waitFor(socket_, POLLIN, deadline)) {
-            return TransferStatus::TimedOut;
+        const auto waited = waitFor(socket_, POLLIN, deadline, watchedCaller_);
+        if (waited != TransferStatus::Done) {
+            return waited;
         }
     }
 }
 
+auto TcpConnection::watchCaller(int socket) -> void
+{
+    watchedCaller_ = socket;
+}
+
 auto TcpConnection::fillAvailable() -> TransferStatus
 {
     return receive();
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -21,6 +21,8 @@
     /** The connection was reset or has another fault. */
     Failed,
     TimedOut,
+    /** The caller that waits for the result has closed its connection. */
+    Abandoned,
 };
 
 /** Parses "127.0.0.1:80" or "[::1]:80" with any port from 0. Returns the length of the parsed address, 0 when the text is malformed. */
@@ -47,6 +49,9 @@
     /** Reads at least one more byte into the buffer. */
     [[nodiscard]] auto fill(absl::Time deadline) -> TransferStatus;
 
+    /** Ends every later wait for data with Abandoned once the other end of a caller's socket has closed; -1 watches none. */
+    auto watchCaller(int socket) -> void;
+
     /** Reads what has arrived without waiting; TimedOut when nothing has. */
     [[nodiscard]] auto fillAvailable() -> TransferStatus;
 
@@ -75,6 +80,7 @@
     auto close() -> void;
 
     int socket_ = -1;
+    int watchedCaller_ = -1;
     std::size_t bytesWritten_ = 0;
     std::size_t consumed_ = 0;
     std::string buffer_;
--- a/libraries/core/log.cpp
+++ b/libraries/core/log.cpp
@@ -6,9 +6,11 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdint>
-#include <cstdio>
 
 namespace lycheecleat
 {
@@ -51,6 +53,18 @@
     return absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", wallTime, absl::UTCTimeZone());
 }
 
+// Writes a whole line or nothing: a pipe that is ready takes up to PIPE_BUF bytes at once, and longer lines are rare.
+auto writeLine(LogStream stream, std::string line) -> bool
+{
+    const auto descriptor = stream == LogStream::Output ? STDOUT_FILENO : STDERR_FILENO;
+    auto ready = pollfd { descriptor, POLLOUT, 0 };
+    if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
+        return false;
+    }
+    line += '\n';
+    return write(descriptor, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
 auto quoteIfNeeded(const std::string &value) -> std::string
 {
     const auto plain = std::all_of(value.begin(), value.end(), [](unsigned char character) {
@@ -95,7 +109,8 @@
     }
     if (wallTime - current.second_ >= absl::Seconds(1)) {
         if (current.dropped_ > 0) {
-            fmt::print(stderr, "time={} level=warning event=log_lines_dropped count={}\n", formatTime(wallTime), current.dropped_);
+            const auto count = std::vector<LogField> { { "count", std::to_string(current.dropped_) } };
+            writeLine(current.settings_.stream_, formatLogLine(current.settings_.format_, wallTime, LogLevel::Warning, "log_lines_dropped", count));
         }
         current.second_ = wallTime;
         current.linesInSecond_ = 0;
@@ -107,7 +122,9 @@
         return;
     }
     current.linesInSecond_ += 1;
-    fmt::print(stderr, "{}\n", formatLogLine(current.settings_.format_, wallTime, level, event, fields));
+    if (!writeLine(current.settings_.stream_, formatLogLine(current.settings_.format_, wallTime, level, event, fields))) {
+        ++current.dropped_;
+    }
 }
 
 }
--- a/libraries/core/log.h
+++ b/libraries/core/log.h
@@ -1,4 +1,4 @@
-/** Structured log lines on standard error. */
+/** Structured log lines on standard error or standard output. */
 #pragma once
 
 #include <absl/time/time.h>
@@ -25,6 +25,12 @@
     Json,
 };
 
+/** Where log lines go. */
+enum class LogStream {
+    Error,
+    Output,
+};
+
 /** One named value of a log line. */
 struct LogField
 {
@@ -37,6 +43,7 @@
 {
     LogLevel level_ = LogLevel::Info;
     LogFormat format_ = LogFormat::KeyValue;
+    LogStream stream_ = LogStream::Error;
     /** Decision lines a second; those beyond it are counted and the count is logged. */
     double linesPerSecond_ = 2000;
 };
@@ -44,7 +51,10 @@
 /** Sets how this process logs. Call it before threads start. */
 auto configureLog(const LogSettings &settings) -> void;
 
-/** Writes one line: time, level, event, then the fields in order. Lines over the rate limit are dropped and counted. */
+/**
+ * Writes one line: time, level, event, then the fields in order. Lines over the rate limit, and lines that the reader does not take at once, are
+ * dropped and counted, so that logging never waits.
+ */
 auto logLine(absl::Time wallTime, LogLevel level, std::string_view event, const std::vector<LogField> &fields) -> void;
 
 /** Formats one line without writing it. */
--- /dev/null
+++ b/libraries/fleet.thrift
@@ -0,0 +1,62 @@
+/** Messages between daemons of a deployment whose hosts are discovered. Regenerate with meta/generate-thrift. */
+namespace cpp lycheecleat.fleet
+
+/** What a host says of itself. */
+struct HostIdentity {
+    1: string name;
+    /** Differs between two starts of the process; the later start has the larger one. */
+    2: i64 incarnation;
+    3: string zone;
+    /** IP address and port for callers. */
+    4: string callerAddress;
+    /** IP address and port for Thrift calls. */
+    5: string peerAddress;
+    /** IP address and UDP port for heartbeats. */
+    6: string gossipAddress;
+}
+
+/** The newest heartbeat of one host that the sender has heard of. */
+struct Heartbeat {
+    /** Stable hash of the host's name. */
+    1: i32 host;
+    2: i64 incarnation;
+    3: i32 sequence;
+    /** 0 starting, 1 ready, 2 leaving. */
+    4: i8 state;
+}
+
+/** A request that ended the backend servers that ran it. */
+struct CrashSighting {
+    1: string fingerprint;
+    2: set<string> backends;
+    3: i32 ageMillis;
+}
+
+/** The datagram that hosts send each other. */
+struct Gossip {
+    1: HostIdentity sender;
+    /** Revision of the store up to which the sender's records are complete. */
+    2: i64 recordsAsOf;
+    3: list<Heartbeat> heartbeats;
+    4: list<CrashSighting> crashes;
+}
+
+struct Record {
+    1: i8 kind;
+    2: string name;
+    3: i64 revision;
+    4: bool removed;
+    5: binary value;
+}
+
+struct Records {
+    1: i64 asOf;
+    /** Whether these are all records there are. */
+    2: bool full;
+    3: list<Record> records;
+}
+
+service Fleet {
+    /** The records that have changed after a revision. */
+    Records fetchRecords(1: i64 afterRevision);
+}
--- /dev/null
+++ b/libraries/process/backendconditions.cpp
@@ -0,0 +1,149 @@
+#include "process/backendconditions.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+// A restarted process starts with a clean record.
+auto conditionIn(absl::flat_hash_map<std::string, BackendCondition> &conditions, const FleetBackend &backend) -> BackendCondition &
+{
+    auto &condition = conditions[backend.registration_.server_.name_];
+    if (condition.incarnation_ != backend.registration_.incarnation_) {
+        auto fresh = BackendCondition {};
+        fresh.incarnation_ = backend.registration_.incarnation_;
+        fresh.inFlight_ = condition.inFlight_;
+        condition = std::move(fresh);
+    }
+    return condition;
+}
+
+auto isCold(const FleetBackend &backend, absl::Time now) -> bool
+{
+    return now < backend.coldUntil_;
+}
+
+}
+
+auto choiceReasonName(ChoiceReason reason) -> std::string_view
+{
+    switch (reason) {
+    case ChoiceReason::First:
+        return "first";
+    case ChoiceReason::Next:
+        return "next";
+    case ChoiceReason::LeastFull:
+        return "least-full";
+    case ChoiceReason::Ejected:
+        return "ejected";
+    }
+    return "first";
+}
+
+auto BackendConditions::shardOf(const FleetBackend &backend) const -> Shard &
+{
+    return shards_[backend.hash_ % shardCount];
+}
+
+auto BackendConditions::suitabilityOf(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> Suitability
+{
+    const auto allowance = isCold(backend, now) ? std::optional(cold(backend)) : std::nullopt;
+    auto &shard = shardOf(backend);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    const auto &condition = conditionIn(shard.conditions_, backend);
+    auto suitability = Suitability {};
+    suitability.isEjected_ = isEjected(condition, now);
+    suitability.isFull_ = isFull(condition, now);
+    suitability.isColdFull_ = allowance && !hasColdRoom(condition, now, *allowance);
+    const auto slots = static_cast<double>(std::max(1, backend.registration_.slots_));
+    suitability.load_ = (condition.load_.running_ + condition.load_.waiting_ + condition.inFlight_) / slots;
+    return suitability;
+}
+
+auto BackendConditions::begin(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> bool
+{
+    const auto allowance = isCold(backend, now) ? std::optional(cold(backend)) : std::nullopt;
+    auto &shard = shardOf(backend);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &condition = conditionIn(shard.conditions_, backend);
+    if (allowance && !takeColdRequest(condition, now, *allowance)) {
+        return false;
+    }
+    condition.inFlight_ += 1;
+    return true;
+}
+
+auto BackendConditions::choose(absl::Time now,
+                               const std::vector<const FleetBackend *> &ranked,
+                               const std::vector<std::string> &tried,
+                               const ColdAllowanceOf &cold) -> BackendChoice
+{
+    auto leastFull = BackendChoice { nullptr, ChoiceReason::LeastFull, 0 };
+    auto leastLoad = 0.0;
+    auto ejected = BackendChoice { nullptr, ChoiceReason::Ejected, 0 };
+    for (auto rank = std::size_t { 0 }; rank < ranked.size(); ++rank) {
+        const auto *backend = ranked[rank];
+        if (std::find(tried.begin(), tried.end(), backend->registration_.server_.name_) != tried.end()) {
+            continue;
+        }
+        const auto suitability = suitabilityOf(now, *backend, cold);
+        if (suitability.isColdFull_) {
+            continue;
+        }
+        if (suitability.isEjected_) {
+            ejected = ejected.backend_ == nullptr ? BackendChoice { backend, ChoiceReason::Ejected, rank } : ejected;
+            continue;
+        }
+        if (suitability.isFull_) {
+            if (leastFull.backend_ == nullptr || suitability.load_ < leastLoad) {
+                leastFull = { backend, ChoiceReason::LeastFull, rank };
+                leastLoad = suitability.load_;
+            }
+            continue;
+        }
+        if (begin(now, *backend, cold)) {
+            return { backend, rank == 0 ? ChoiceReason::First : ChoiceReason::Next, rank };
+        }
+    }
+    for (const auto &choice : { leastFull, ejected }) {
+        if (choice.backend_ != nullptr && begin(now, *choice.backend_, cold)) {
+            return choice;
+        }
+    }
+    return {};
+}
+
+auto BackendConditions::end(absl::Time now, const FleetBackend &backend, BackendSign sign, const std::optional<LoadReport> &load) -> void
+{
+    auto &shard = shardOf(backend);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &condition = conditionIn(shard.conditions_, backend);
+    condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
+    noteSign(condition, now, sign, load);
+}
+
+auto BackendConditions::release(const FleetBackend &backend) -> void
+{
+    auto &shard = shardOf(backend);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &condition = conditionIn(shard.conditions_, backend);
+    condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
+}
+
+auto BackendConditions::conditionOf(const std::string &name) const -> BackendCondition
+{
+    for (const auto &shard : shards_) {
+        const auto lock = absl::ReaderMutexLock(&shard.mutex_);
+        const auto found = shard.conditions_.find(name);
+        if (found != shard.conditions_.end()) {
+            return found->second;
+        }
+    }
+    return {};
+}
+
+}
--- /dev/null
+++ b/libraries/process/backendconditions.h
@@ -0,0 +1,93 @@
+/** Conditions of all backend servers, as this host has seen them. */
+#pragma once
+
+#include "request/backendcondition.h"
+#include "version/fleetview.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** Why a backend server was chosen. */
+enum class ChoiceReason {
+    /** First in the object's order. */
+    First,
+    /** The ones before it were full, cold, ejected or tried. */
+    Next,
+    /** All are full; this one least. */
+    LeastFull,
+    /** All others are ejected. */
+    Ejected,
+};
+
+[[nodiscard]] auto choiceReasonName(ChoiceReason reason) -> std::string_view;
+
+/** A chosen backend server. */
+struct BackendChoice
+{
+    /** Null when there is none that may be sent the request. */
+    const FleetBackend *backend_ = nullptr;
+    ChoiceReason reason_ = ChoiceReason::First;
+    /** Place in the object's order, from 0. */
+    std::size_t rank_ = 0;
+};
+
+/** Allowance of this host for a cold backend server. */
+using ColdAllowanceOf = std::function<ColdAllowance(const FleetBackend &)>;
+
+/** Keeps conditions in shards, each under its own lock. Thread-safe. Times are monotonic. */
+class BackendConditions
+{
+public:
+    /**
+     * Chooses among ranked backend servers and counts the request as in flight there. A cold backend server is chosen only within this host's
+     * allowance.
+     */
+    [[nodiscard]] auto
+    choose(absl::Time now, const std::vector<const FleetBackend *> &ranked, const std::vector<std::string> &tried, const ColdAllowanceOf &cold)
+        -> BackendChoice;
+
+    /** Records how an exchange ended. */
+    auto end(absl::Time now, const FleetBackend &backend, BackendSign sign, const std::optional<LoadReport> &load) -> void;
+
+    /** The exchange ended without telling anything about the backend server. */
+    auto release(const FleetBackend &backend) -> void;
+
+    /** A copy of a condition, for status answers and tests. */
+    [[nodiscard]] auto conditionOf(const std::string &name) const -> BackendCondition;
+
+private:
+    struct Shard
+    {
+        mutable absl::Mutex mutex_;
+        absl::flat_hash_map<std::string, BackendCondition> conditions_ ABSL_GUARDED_BY(mutex_);
+    };
+    /** What makes a backend server less suitable. */
+    struct Suitability
+    {
+        bool isEjected_ = false;
+        bool isFull_ = false;
+        bool isColdFull_ = false;
+        /** Requests at the backend server for each slot, as far as this host knows. */
+        double load_ = 0;
+    };
+    static constexpr auto shardCount = std::size_t { 16 };
+
+    [[nodiscard]] auto shardOf(const FleetBackend &backend) const -> Shard &;
+    [[nodiscard]] auto suitabilityOf(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> Suitability;
+    /** Counts the request; false when the cold allowance has been used up meanwhile. */
+    [[nodiscard]] auto begin(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> bool;
+
+    mutable std::array<Shard, shardCount> shards_;
+};
+
+}
--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -39,9 +39,13 @@
 // Threads that answer requests beyond the limit; each answer takes microseconds.
 constexpr auto sheddingThreads = 2;
 
-constexpr auto listenerId = std::uint64_t { 0 };
-constexpr auto wakeId = std::uint64_t { 1 };
-constexpr auto firstConnectionId = std::uint64_t { 2 };
+constexpr auto initialThreads = 4;
+
+constexpr auto wakeId = std::uint64_t { 0 };
+/** Identifiers from here on name the listeners, in order. */
+constexpr auto firstListenerId = std::uint64_t { 1 };
+constexpr auto firstConnectionId = std::uint64_t { 16 };
+constexpr auto maximumListeners = firstConnectionId - firstListenerId;
 
 constexpr auto shardCount = std::size_t { 16 };
 
@@ -61,6 +65,7 @@
     /** Time of the last answer, or of the first byte of a head that is not whole yet. */
     absl::Time waitingSince_;
     bool headBegun_ = false;
+    std::size_t listener_ = 0;
     /** The last answer has been written; what still arrives is dropped until the caller closes. */
     bool ending_ = false;
 };
@@ -76,33 +81,42 @@
     Close,
 };
 
-auto formatResponse(const httplib::Response &response, const std::string &method, bool close) -> std::string
+auto formatAnswer(Answer source, const std::string &method, bool close) -> std::string
 {
-    auto answer = Answer { response.status, {}, "" };
+    auto answer = Answer { source.status_, {}, "" };
     auto hasLength = false;
-    const auto bodyless = response.status == noContentStatus || response.status == notModifiedStatus;
+    const auto bodyless = source.status_ == noContentStatus || source.status_ == notModifiedStatus;
     const auto isHead = method == "HEAD";
-    for (const auto &[name, value] : response.headers) {
-        const auto isLength = equalIgnoringCase(name, "content-length");
-        if (isLength && !isHead && response.status != notModifiedStatus) {
+    for (auto &header : source.headers_) {
+        const auto isLength = equalIgnoringCase(header.name_, "content-length");
+        if (isLength && !isHead && source.status_ != notModifiedStatus) {
             continue;
         }
         hasLength = hasLength || isLength;
-        answer.headers_.push_back({ name, value });
+        answer.headers_.push_back(std::move(header));
     }
     // The answer to a HEAD request describes a body that is not here, so only a length that is known is stated.
-    if (!hasLength && !bodyless && !(isHead && response.body.empty())) {
-        answer.headers_.push_back({ "Content-Length", std::to_string(response.body.size()) });
+    if (!hasLength && !bodyless && !(isHead && source.body_.empty())) {
+        answer.headers_.push_back({ "Content-Length", std::to_string(source.body_.size()) });
     }
     if (close) {
         answer.headers_.push_back({ "Connection", "close" });
     }
     if (!bodyless && !isHead) {
-        answer.body_ = response.body;
+        answer.body_ = std::move(source.body_);
     }
     return responseText(answer);
 }
 
+auto answerOf(const httplib::Response &response) -> Answer
+{
+    auto answer = Answer { response.status, {}, response.body };
+    for (const auto &[name, value] : response.headers) {
+        answer.headers_.push_back({ name, value });
+    }
+    return answer;
+}
+
 auto requestOf(const RequestContent &content, const std::string &remoteAddress) -> httplib::Request
 {
     auto request = httplib::Request {};
@@ -146,9 +160,14 @@
     ~State();
 
     auto bind() -> Result<void>;
+    auto bindOne(const std::string &name) -> Result<int>;
     auto work() -> void;
     auto keepHouse() -> void;
-    auto acceptAll() -> void;
+    auto acceptAll(std::size_t listener) -> void;
+    auto serveDirectly(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt) -> Next;
+    auto write(CallerConnection &connection, const std::string &method, Answer answer, bool close) -> Next;
+    auto addThread() -> void;
+    auto times() const -> CallerTimes;
     auto park(std::uint64_t id, std::unique_ptr<CallerConnection> connection, bool isNew) -> void;
     auto take(std::uint64_t id) -> std::unique_ptr<CallerConnection>;
     auto serveConnection(std::uint64_t id) -> void;
@@ -162,7 +181,7 @@
 
     CallerServerSettings settings_;
     CallerFunctions functions_;
-    std::atomic<int> listener_ = -1;
+    std::vector<int> listeners_;
     int epoll_ = -1;
     int wake_ = -1;
     int port_ = 0;
@@ -173,7 +192,10 @@
     std::atomic<bool> draining_ = false;
     std::atomic<bool> ended_ = false;
     absl::Notification housekeepingEnds_;
-    std::vector<std::thread> threads_;
+    /** Threads that wait for work. */
+    std::atomic<int> idleThreads_ = 0;
+    absl::Mutex threadsMutex_;
+    std::vector<std::thread> threads_ ABSL_GUARDED_BY(threadsMutex_);
     std::thread housekeeper_;
 };
 
@@ -185,36 +207,54 @@
 
 CallerServer::State::~State()
 {
-    for (const auto descriptor : { listener_.load(), epoll_, wake_ }) {
+    for (const auto descriptor : { epoll_, wake_ }) {
         if (descriptor >= 0) {
             ::close(descriptor);
         }
     }
+    for (const auto listener : listeners_) {
+        ::close(listener);
+    }
 }
 
-auto CallerServer::State::bind() -> Result<void>
+auto CallerServer::State::bindOne(const std::string &name) -> Result<int>
 {
     auto address = sockaddr_storage {};
-    const auto length = parseSocketName(settings_.address_, address);
+    const auto length = parseSocketName(name, address);
     if (length == 0) {
-        return makeError("listen for callers", settings_.address_, "the address must be an IP address and a port");
+        return makeError("listen for callers", name, "the address must be an IP address and a port");
     }
-    listener_ = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const auto listener = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    listeners_.push_back(listener);
     const auto enabled = 1;
-    setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-    if (::bind(listener_, reinterpret_cast<const sockaddr *>(&address), length) != 0 || listen(listener_, listenBacklog) != 0) {
-        return makeError("listen for callers", settings_.address_, std::generic_category().message(errno));
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    if (::bind(listener, reinterpret_cast<const sockaddr *>(&address), length) != 0 || listen(listener, listenBacklog) != 0) {
+        return makeError("listen for callers", name, std::generic_category().message(errno));
+    }
+    auto event = epoll_event { EPOLLIN | EPOLLEXCLUSIVE, { .u64 = firstListenerId + listeners_.size() - 1 } };
+    if (epoll_ctl(epoll_, EPOLL_CTL_ADD, listener, &event) != 0) {
+        return makeError("listen for callers", name, std::generic_category().message(errno));
     }
     auto size = socklen_t { sizeof(address) };
-    getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &size);
-    port_ = portOf(address);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+    return portOf(address);
+}
+
+auto CallerServer::State::bind() -> Result<void>
+{
     epoll_ = epoll_create1(EPOLL_CLOEXEC);
     wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    auto listenEvent = epoll_event { EPOLLIN | EPOLLEXCLUSIVE, { .u64 = listenerId } };
     auto wakeEvent = epoll_event { EPOLLIN, { .u64 = wakeId } };
-    if (epoll_ctl(epoll_, EPOLL_CTL_ADD, listener_, &listenEvent) != 0 || epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &wakeEvent) != 0) {
+    if (epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &wakeEvent) != 0) {
         return makeError("listen for callers", settings_.address_, std::generic_category().message(errno));
     }
+    if (settings_.furtherAddresses_.size() >= maximumListeners) {
+        return makeError("listen for callers", settings_.address_, "too many addresses");
+    }
+    BOOST_LEAF_ASSIGN(port_, bindOne(settings_.address_));
+    for (const auto &address : settings_.furtherAddresses_) {
+        BOOST_LEAF_CHECK(bindOne(address));
+    }
     return {};
 }
 
@@ -222,24 +262,47 @@
 {
     while (!ended_) {
         auto event = epoll_event {};
+        idleThreads_ += 1;
         const auto ready = epoll_wait(epoll_, &event, 1, -1);
+        const auto isLast = idleThreads_.fetch_sub(1) == 1;
         if (ready <= 0 || event.data.u64 == wakeId) {
             continue;
         }
-        if (event.data.u64 == listenerId) {
-            acceptAll();
+        if (isLast) {
+            addThread();
+        }
+        if (event.data.u64 < firstConnectionId) {
+            acceptAll(event.data.u64 - firstListenerId);
             continue;
         }
         serveConnection(event.data.u64);
     }
 }
 
-auto CallerServer::State::acceptAll() -> void
+// Threads are added when they are needed, since each takes memory.
+auto CallerServer::State::addThread() -> void
+{
+    const auto lock = absl::MutexLock(&threadsMutex_);
+    const auto maximum = static_cast<std::size_t>(settings_.maximumRequests_) + sheddingThreads;
+    if (ended_ || threads_.size() >= maximum) {
+        return;
+    }
+    threads_.emplace_back([this] {
+        work();
+    });
+}
+
+auto CallerServer::State::times() const -> CallerTimes
+{
+    return functions_.times_ ? functions_.times_() : CallerTimes { settings_.readTimeout_, settings_.idleTimeout_ };
+}
+
+auto CallerServer::State::acceptAll(std::size_t listener) -> void
 {
     while (true) {
         auto address = sockaddr_storage {};
         auto size = socklen_t { sizeof(address) };
-        const auto socket = accept4(listener_, reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const auto socket = accept4(listeners_[listener], reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (socket < 0) {
             return;
         }
@@ -247,6 +310,7 @@
         if (connections_.load() >= settings_.maximumConnections_) {
             continue;
         }
+        connection->listener_ = listener;
         const auto enabled = 1;
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
         connections_ += 1;
@@ -336,11 +400,15 @@
 
 auto CallerServer::State::serveRequest(CallerConnection &connection) -> Next
 {
+    const auto receivedAt = connection.headBegun_ ? connection.waitingSince_ : monotonicNow();
     const auto deadline = monotonicNow() + settings_.readTimeout_;
     auto reader = RequestReader(connection.connection_);
     if (reader.readHead(settings_.maximumHead_, deadline) != MessageStatus::Whole) {
         return refuse(connection, Refusal::MalformedRequest);
     }
+    if (functions_.answer_) {
+        return serveDirectly(connection, reader, receivedAt);
+    }
     const auto &content = reader.request();
     auto request = requestOf(content, connection.remoteAddress_);
     auto response = httplib::Response {};
@@ -363,10 +431,31 @@
     return answer(connection, content.method_, response, reader.closesConnection());
 }
 
+auto CallerServer::State::serveDirectly(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt) -> Next
+{
+    // A shorter time for the body than the caller's own deadline would end uploads that are merely slow.
+    const auto bodyStatus = reader.hasBody() ? reader.readBody(settings_.maximumBody_, receivedAt + settings_.bodyTimeout_) : MessageStatus::Whole;
+    if (bodyStatus != MessageStatus::Whole) {
+        return bodyStatus == MessageStatus::BodyTooLarge ? refuse(connection, Refusal::BodyTooLarge) : Next::Close;
+    }
+    const auto request = ReceivedRequest { reader.request(), receivedAt, connection.connection_.socket(), connection.listener_ };
+    const auto isOverloaded = connection.listener_ == 0 && busy_.load() > settings_.maximumRequests_;
+    auto answer = isOverloaded ? functions_.answerOverloaded_(request) : functions_.answer_(request);
+    if (answer.isAbandoned_) {
+        return Next::Close;
+    }
+    return write(connection, reader.request().method_, std::move(answer.answer_), answer.closes_ || reader.closesConnection());
+}
+
 auto CallerServer::State::answer(CallerConnection &connection, const std::string &method, const httplib::Response &response, bool close) -> Next
+{
+    return write(connection, method, answerOf(response), close);
+}
+
+auto CallerServer::State::write(CallerConnection &connection, const std::string &method, Answer answer, bool close) -> Next
 {
     const auto closes = close || draining_;
-    const auto text = formatResponse(response, method, closes);
+    const auto text = formatAnswer(std::move(answer), method, closes);
     const auto written = connection.connection_.write(text, monotonicNow() + settings_.writeTimeout_);
     if (written != TransferStatus::Done) {
         return Next::Close;
@@ -391,7 +480,8 @@
     if (connection.ending_) {
         return lingerTimeout;
     }
-    return connection.headBegun_ ? settings_.readTimeout_ : settings_.idleTimeout_;
+    const auto limits = times();
+    return connection.headBegun_ ? limits.read_ : limits.idle_;
 }
 
 // Closes connections that have waited for too long, and with allQuiet every one that has nothing to read.
@@ -426,11 +516,8 @@
 auto CallerServer::start() -> Result<void>
 {
     BOOST_LEAF_CHECK(state_->bind());
-    const auto threads = state_->settings_.maximumRequests_ + sheddingThreads;
-    for (auto index = 0; index < threads; ++index) {
-        state_->threads_.emplace_back([state = state_.get()] {
-            state->work();
-        });
+    for (auto index = 0; index < initialThreads; ++index) {
+        state_->addThread();
     }
     state_->housekeeper_ = std::thread([state = state_.get()] {
         state->keepHouse();
@@ -445,13 +532,16 @@
 
 auto CallerServer::stop() -> void
 {
-    if (state_->threads_.empty() || state_->draining_.exchange(true)) {
+    if (!state_->housekeeper_.joinable() || state_->draining_.exchange(true)) {
         return;
     }
     // Connections that wait in the backlog were accepted by the kernel and are served.
-    epoll_ctl(state_->epoll_, EPOLL_CTL_DEL, state_->listener_, nullptr);
-    state_->acceptAll();
-    ::close(state_->listener_.exchange(-1));
+    for (auto index = std::size_t { 0 }; index < state_->listeners_.size(); ++index) {
+        epoll_ctl(state_->epoll_, EPOLL_CTL_DEL, state_->listeners_[index], nullptr);
+        state_->acceptAll(index);
+        // A closed descriptor's number may be given to another connection, so the listener is only shut down while threads may still accept from it.
+        ::shutdown(state_->listeners_[index], SHUT_RDWR);
+    }
     const auto graceEnds = monotonicNow() + state_->settings_.stopGrace_;
     while (state_->connections_ > 0 && monotonicNow() < graceEnds) {
         absl::SleepFor(absl::Milliseconds(5));
@@ -463,7 +553,12 @@
     state_->ended_ = true;
     const auto one = std::uint64_t { 1 };
     static_cast<void>(::write(state_->wake_, &one, sizeof(one)));
-    for (auto &thread : state_->threads_) {
+    auto threads = std::vector<std::thread> {};
+    {
+        const auto lock = absl::MutexLock(&state_->threadsMutex_);
+        threads.swap(state_->threads_);
+    }
+    for (auto &thread : threads) {
         thread.join();
     }
     state_->housekeepingEnds_.Notify();
--- a/libraries/process/callerserver.h
+++ b/libraries/process/callerserver.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "core/error.h"
+#include "request/httpfields.h"
+#include "request/oncetable.h"
 
 #include <absl/time/time.h>
 #include <httplib.h>
@@ -10,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lycheecleat
 {
@@ -22,6 +25,8 @@
 {
     /** IP address and port; port 0 takes a free one. */
     std::string address_;
+    /** Further addresses, whose requests name the address in ReceivedRequest::listener_. */
+    std::vector<std::string> furtherAddresses_ = {};
     /** Requests served at once. Requests beyond it are refused as not run. */
     int maximumRequests_ = 256;
     /** Connections open at once; further ones are closed. */
@@ -29,12 +34,44 @@
     std::size_t maximumHead_ = std::size_t { 32 } * 1024;
     /** Longest time from the first byte of a request to the end of its head, and from there to the end of its body. */
     absl::Duration readTimeout_ = absl::Seconds(5);
+    /** Longest time from the start of a request to the end of its body, and its largest size, where the route does not limit it. */
+    absl::Duration bodyTimeout_ = absl::Seconds(30);
+    std::size_t maximumBody_ = std::size_t { 64 } * 1024 * 1024;
     absl::Duration writeTimeout_ = absl::Seconds(10);
     absl::Duration idleTimeout_ = absl::Seconds(60);
     /** How long idle connections are still served after stop was called, so that a request on its way is not lost. */
     absl::Duration stopGrace_ = absl::Milliseconds(500);
 };
 
+/** A whole request as it came. */
+struct ReceivedRequest
+{
+    const RequestContent &content_;
+    /** Monotonic time at which the first part of the request was read. */
+    absl::Time receivedAt_;
+    /** The caller's socket, to be watched while its request runs. */
+    int socket_ = -1;
+    /** 0 for the first address, then the further addresses in order. */
+    std::size_t listener_ = 0;
+};
+
+/** An answer for a caller. */
+struct CallerAnswer
+{
+    Answer answer_;
+    /** Closes the connection after the answer. */
+    bool closes_ = false;
+    /** Closes the connection without an answer: the caller has left. */
+    bool isAbandoned_ = false;
+};
+
+/** How long callers may take, which a configuration may change while the server runs. */
+struct CallerTimes
+{
+    absl::Duration read_ = absl::Seconds(5);
+    absl::Duration idle_ = absl::Seconds(60);
+};
+
 /** What the server calls. Each call may come from any of its threads. */
 struct CallerFunctions
 {
@@ -42,6 +79,12 @@
     std::function<void(const httplib::Request &, httplib::Response &)> lookup_;
     /** Largest body of a request whose head is known. */
     std::function<std::size_t(const httplib::Request &)> bodyLimit_;
+    /** Answers every request in place of the functions above. */
+    std::function<CallerAnswer(const ReceivedRequest &)> answer_ = nullptr;
+    /** Answers a request that is not served because too many are. */
+    std::function<CallerAnswer(const ReceivedRequest &)> answerOverloaded_ = nullptr;
+    /** Replaces the times of the settings. */
+    std::function<CallerTimes()> times_ = nullptr;
 };
 
 /**
--- a/libraries/process/daemon.cpp
+++ b/libraries/process/daemon.cpp
@@ -124,8 +124,9 @@
                                 [this] {
                                     return leaving_.load();
                                 } })
-    , peerServer_(settings_.settings_.peerListen_,
-                  std::make_shared<PeerHandler>(PeerServices { &membership_, &follower_, &shares_, &requests_, &controlTime_ }))
+    , peerServer_(
+          settings_.settings_.peerListen_,
+          std::make_shared<peer::PeerProcessor>(std::make_shared<PeerHandler>(PeerServices { &membership_, &follower_, &shares_, &requests_, &controlTime_ })))
     , callers_(callerSettings(settings_.settings_),
                CallerFunctions { [this](const httplib::Request &request, httplib::Response &response) {
                                     requests_.handle(request, response);
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -43,6 +43,7 @@
         return Refusal::BackendUnreachable;
     case ExchangeStatus::TimedOut:
     case ExchangeStatus::Silent:
+    case ExchangeStatus::Abandoned:
         return Refusal::DeadlineExceeded;
     case ExchangeStatus::Ended:
     case ExchangeStatus::Incomplete:
--- /dev/null
+++ b/libraries/process/fleetdaemon.cpp
@@ -0,0 +1,238 @@
+#include "process/fleetdaemon.h"
+
+#include "connection/fleetpeers.h"
+#include "core/clock.h"
+#include "core/log.h"
+#include "generated/Fleet.h"
+#include "process/hostregistration.h"
+
+#include <absl/time/clock.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** Callers may keep a lookup answer for this long; short, since some keep it for longer and a host that stops must be left within its grace. */
+constexpr auto lookupLifetime = absl::Seconds(2);
+
+/** Fewest hosts of the caller's own region that are enough for a lookup answer. */
+constexpr auto enoughHosts = std::size_t { 2 };
+
+constexpr auto maximumLookupAddresses = std::size_t { 64 };
+
+/** Part of the stop grace during which new requests are still accepted, since callers keep old lookup answers. */
+constexpr auto acceptingPart = 0.5;
+
+/** Part of the stop grace after which the process ends at the latest. */
+constexpr auto finishedPart = 0.93;
+
+constexpr auto stopPoll = absl::Milliseconds(20);
+
+constexpr auto readyListener = std::size_t { 1 };
+constexpr auto lookupListener = std::size_t { 2 };
+
+constexpr auto okStatus = 200;
+constexpr auto badRequestStatus = 400;
+constexpr auto notFoundStatus = 404;
+constexpr auto unavailableStatus = 503;
+
+auto identityOf(const FleetDaemonSettings &settings) -> fleet::HostIdentity
+{
+    auto identity = fleet::HostIdentity {};
+    identity.name = settings.name_;
+    identity.incarnation = absl::ToUnixMillis(wallNow());
+    identity.zone = settings.zone_;
+    identity.callerAddress = settings.callerAddress_;
+    identity.peerAddress = settings.peerAddress_;
+    identity.gossipAddress = settings.gossipAddress_;
+    return identity;
+}
+
+auto callerServerSettings(const FleetDaemonSettings &settings) -> CallerServerSettings
+{
+    auto callers = CallerServerSettings {};
+    callers.address_ = settings.callerAddress_;
+    callers.furtherAddresses_ = { settings.readyAddress_, settings.lookupAddress_ };
+    callers.maximumRequests_ = settings.maximumRequests_;
+    callers.maximumConnections_ = settings.maximumConnections_;
+    return callers;
+}
+
+/** Answers other hosts' Thrift calls. */
+class FleetPeerHandler : public fleet::FleetIf
+{
+public:
+    explicit FleetPeerHandler(const FleetState &state)
+        : state_(state)
+    {
+    }
+
+    auto fetchRecords(fleet::Records &reply, std::int64_t afterRevision) -> void override
+    {
+        reply = toMessage(state_.changesAfter(afterRevision));
+    }
+
+private:
+    const FleetState &state_;
+};
+
+auto plainAnswer(int status) -> CallerAnswer
+{
+    return { { status, {}, "" }, false, false };
+}
+
+}
+
+FleetDaemon::FleetDaemon(FleetDaemonSettings settings, FleetAdapter adapter)
+    : settings_(std::move(settings))
+    , adapter_(std::move(adapter))
+    , identity_(identityOf(settings_))
+    , state_(settings_.zones_, adapter_.decoders_)
+    , requests_(SteeringServices { settings_.name_,
+                                   settings_.zone_,
+                                   settings_.zones_,
+                                   adapter_.protocol_,
+                                   settings_.terms_,
+                                   &state_,
+                                   [this](absl::Time now) {
+                                       return gossip_->shareHolders(now);
+                                   },
+                                   [this] {
+                                       return isStopping_.load();
+                                   },
+                                   nullptr })
+    , follower_(std::make_unique<RecordFollower>(
+          RecordFollowerServices { adapter_.store_, &state_, settings_.name_, encodeHostRegistration(identity_), settings_.peerSeeds_ }))
+    , gossip_(std::make_unique<HostGossip>(GossipServices { identity_,
+                                                            settings_.gossipSeeds_,
+                                                            settings_.zones_,
+                                                            &state_,
+                                                            [this] {
+                                                                return stage();
+                                                            },
+                                                            [this](absl::Time now) {
+                                                                return requests_.crashes(now);
+                                                            },
+                                                            [this](absl::Time now, const CrashRecord &record) {
+                                                                requests_.addCrash(now, record);
+                                                            },
+                                                            [this](const NewerPeer &peer) {
+                                                                follower_->hearOf(peer);
+                                                            } }))
+    , peerServer_(settings_.peerAddress_, std::make_shared<fleet::FleetProcessor>(std::make_shared<FleetPeerHandler>(state_)))
+    , callers_(callerServerSettings(settings_),
+               CallerFunctions { nullptr,
+                                 nullptr,
+                                 nullptr,
+                                 [this](const ReceivedRequest &request) {
+                                     return answer(request);
+                                 },
+                                 [this](const ReceivedRequest &request) {
+                                     return requests_.refuseOverloaded(request);
+                                 },
+                                 [this] {
+                                     return callerTimes();
+                                 } })
+{
+}
+
+FleetDaemon::~FleetDaemon() = default;
+
+auto FleetDaemon::start() -> Result<void>
+{
+    logLine(wallNow(),
+            LogLevel::Info,
+            "started",
+            { { "host", settings_.name_ }, { "zone", settings_.zone_ }, { "incarnation", fmt::format("{}", identity_.incarnation) } });
+    BOOST_LEAF_CHECK(callers_.start());
+    BOOST_LEAF_CHECK(peerServer_.start());
+    BOOST_LEAF_CHECK(gossip_->start());
+    follower_->start();
+    return {};
+}
+
+auto FleetDaemon::stop() -> void
+{
+    const auto stoppedAt = monotonicNow();
+    isLeaving_ = true;
+    logLine(wallNow(), LogLevel::Info, "stopping", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", requests_.inFlight()) } });
+    gossip_->announce(stoppedAt);
+    follower_->deregister();
+    while (monotonicNow() - stoppedAt < settings_.terms_.stopGrace_ * acceptingPart) {
+        absl::SleepFor(stopPoll);
+    }
+    isStopping_ = true;
+    while (requests_.inFlight() > 0 && monotonicNow() - stoppedAt < settings_.terms_.stopGrace_ * finishedPart) {
+        absl::SleepFor(stopPoll);
+    }
+    logLine(wallNow(), LogLevel::Info, "stopped", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", requests_.inFlight()) } });
+}
+
+auto FleetDaemon::isReady() const -> bool
+{
+    return !isLeaving_ && state_.view()->policy_ != nullptr;
+}
+
+auto FleetDaemon::stage() const -> HostStage
+{
+    if (isLeaving_) {
+        return HostStage::Leaving;
+    }
+    return isReady() ? HostStage::Ready : HostStage::Starting;
+}
+
+auto FleetDaemon::callerTimes() const -> CallerTimes
+{
+    const auto view = state_.view();
+    const auto limits = view->policy_ ? view->policy_->policy().limits_ : CallerLimits {};
+    return { limits.headTimeout_, limits.idleTimeout_ };
+}
+
+auto FleetDaemon::answer(const ReceivedRequest &request) -> CallerAnswer
+{
+    if (request.listener_ == readyListener) {
+        return pathOfTarget(request.content_.target_) == adapter_.protocol_.readyPath_ ? answerReady() : plainAnswer(notFoundStatus);
+    }
+    if (request.listener_ == lookupListener) {
+        return pathOfTarget(request.content_.target_) == adapter_.protocol_.lookupPath_ ? answerLookup(request) : plainAnswer(notFoundStatus);
+    }
+    auto answer = requests_.handle(request);
+    answer.closes_ = answer.closes_ || isLeaving_;
+    return answer;
+}
+
+auto FleetDaemon::answerReady() const -> CallerAnswer
+{
+    return plainAnswer(isReady() ? okStatus : unavailableStatus);
+}
+
+auto FleetDaemon::answerLookup(const ReceivedRequest &request) -> CallerAnswer
+{
+    const auto lookup = adapter_.protocol_.decodeLookup_(request.content_);
+    if (!lookup) {
+        return plainAnswer(badRequestStatus);
+    }
+    auto near = std::vector<std::string> {};
+    auto all = std::vector<std::string> {};
+    for (const auto &host : gossip_->readyHosts(monotonicNow())) {
+        const auto region = settings_.zones_.find(host.identity_->zone);
+        all.push_back(host.identity_->callerAddress);
+        if (region != settings_.zones_.end() && region->second == lookup->region_) {
+            near.push_back(host.identity_->callerAddress);
+        }
+    }
+    auto addresses = near.size() >= enoughHosts ? std::move(near) : std::move(all);
+    if (addresses.empty()) {
+        return plainAnswer(unavailableStatus);
+    }
+    addresses.resize(std::min(addresses.size(), maximumLookupAddresses));
+    return { adapter_.protocol_.encodeLookup_({ std::move(addresses), std::min(lookupLifetime, settings_.terms_.maximumLookupLifetime_) }), false, false };
+}
+
+}
--- /dev/null
+++ b/libraries/process/fleetdaemon.h
@@ -0,0 +1,94 @@
+/** The daemon of an entry host in a deployment whose hosts and backend servers are discovered. */
+#pragma once
+
+#include "process/callerserver.h"
+#include "process/fleetstate.h"
+#include "process/fleetterms.h"
+#include "process/hostgossip.h"
+#include "process/peerserver.h"
+#include "process/recordfollower.h"
+#include "process/recordstore.h"
+#include "process/steeringhandler.h"
+#include "request/callerprotocol.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** Settings of a daemon. Addresses are an IP address and a port. */
+struct FleetDaemonSettings
+{
+    std::string name_;
+    std::string zone_;
+    ZoneRegions zones_;
+    /** Address for callers' requests. */
+    std::string callerAddress_;
+    /** Address for readiness checks. */
+    std::string readyAddress_;
+    /** Address for lookups. */
+    std::string lookupAddress_;
+    /** Address for Thrift calls of other hosts. */
+    std::string peerAddress_;
+    /** Address for heartbeats by UDP. */
+    std::string gossipAddress_;
+    /** Addresses for Thrift calls and for heartbeats of hosts that may know others. */
+    std::vector<std::string> peerSeeds_;
+    std::vector<std::string> gossipSeeds_;
+    FleetTerms terms_;
+    /** Requests served at once. */
+    int maximumRequests_ = 256;
+    std::size_t maximumConnections_ = 2000;
+
+    auto operator==(const FleetDaemonSettings &other) const -> bool = default;
+};
+
+/** What an adapter provides. */
+struct FleetAdapter
+{
+    RecordStore store_;
+    RecordDecoders decoders_;
+    CallerProtocol protocol_;
+};
+
+/** Runs one daemon in this process. */
+class FleetDaemon
+{
+public:
+    FleetDaemon(FleetDaemonSettings settings, FleetAdapter adapter);
+    ~FleetDaemon();
+    FleetDaemon(const FleetDaemon &) = delete;
+    auto operator=(const FleetDaemon &) -> FleetDaemon & = delete;
+
+    /** Starts all parts. Errors: an address cannot be used. */
+    [[nodiscard]] auto start() -> Result<void>;
+
+    /** Leaves: peers and lookups stop naming this host, requests that come are served for a while, those in flight end. Blocks until then. */
+    auto stop() -> void;
+
+private:
+    auto answer(const ReceivedRequest &request) -> CallerAnswer;
+    auto answerReady() const -> CallerAnswer;
+    auto answerLookup(const ReceivedRequest &request) -> CallerAnswer;
+    auto isReady() const -> bool;
+    auto stage() const -> HostStage;
+    auto callerTimes() const -> CallerTimes;
+
+    const FleetDaemonSettings settings_;
+    const FleetAdapter adapter_;
+    const fleet::HostIdentity identity_;
+    std::atomic<bool> isLeaving_ = false;
+    /** New requests are refused. */
+    std::atomic<bool> isStopping_ = false;
+    FleetState state_;
+    SteeringHandler requests_;
+    std::unique_ptr<RecordFollower> follower_;
+    std::unique_ptr<HostGossip> gossip_;
+    PeerServer peerServer_;
+    CallerServer callers_;
+};
+
+}
--- /dev/null
+++ b/libraries/process/fleetstate.cpp
@@ -0,0 +1,239 @@
+#include "process/fleetstate.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** How long a backend server whose registration is missing after a store outage stays in use: a living one registers again within this time. */
+constexpr auto reregistrationTime = absl::Seconds(2);
+
+auto logChange(LogLevel level, const char *event, const FleetRecord &record, const std::string &source, std::vector<LogField> more) -> void
+{
+    auto fields = std::vector<LogField> { { "name", record.name_ }, { "revision", fmt::format("{}", record.revision_) }, { "source", source } };
+    for (auto &field : more) {
+        fields.push_back(std::move(field));
+    }
+    logLine(wallNow(), level, event, fields);
+}
+
+}
+
+FleetState::FleetState(ZoneRegions zones, RecordDecoders decoders)
+    : zones_(std::move(zones))
+    , decoders_(std::move(decoders))
+    , view_(std::make_shared<FleetView>())
+{
+}
+
+auto FleetState::apply(absl::Time now, const RecordBatch &batch, const std::string &source) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    const auto asOfBefore = book_.asOf();
+    const auto changes = book_.apply(now, batch);
+    for (const auto &record : changes) {
+        takeOver(now, record, source);
+    }
+    if (!changes.empty() || book_.asOf() != asOfBefore) {
+        rebuild();
+    }
+}
+
+auto FleetState::takeOver(absl::Time now, const FleetRecord &record, const std::string &source) -> void
+{
+    switch (record.kind_) {
+    case RecordKind::Policy:
+        takeOverPolicy(record, source);
+        return;
+    case RecordKind::Evacuation:
+        takeOverEvacuation(now, record, source);
+        return;
+    case RecordKind::Backend:
+        takeOverBackend(now, record, source);
+        return;
+    case RecordKind::Host:
+        logChange(LogLevel::Info, record.isRemoved_ ? "host_registration_ended" : "host_registered", record, source, {});
+        return;
+    }
+}
+
+auto FleetState::takeOverPolicy(const FleetRecord &record, const std::string &source) -> void
+{
+    if (record.isRemoved_) {
+        logChange(LogLevel::Warning, "policy_kept", record, source, { { "reason", "the record was removed" } });
+        return;
+    }
+    auto decoded = attempt([&] {
+        return decoders_.policy_(record.value_);
+    });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        logChange(LogLevel::Error, "policy_kept", record, source, { { "reason", describe(*error) } });
+        return;
+    }
+    auto &policy = std::get<TrafficPolicy>(decoded);
+    const auto version = policy.version_;
+    if (policy_ && version <= policy_->policy().version_) {
+        logChange(LogLevel::Warning,
+                  "policy_kept",
+                  record,
+                  source,
+                  { { "reason", "not newer than the version in force" }, { "version", fmt::format("{}", version) } });
+        return;
+    }
+    policy_ = std::make_shared<PolicyIndex>(std::move(policy));
+    logChange(LogLevel::Info, "policy_in_force", record, source, { { "version", fmt::format("{}", version) } });
+}
+
+auto FleetState::takeOverEvacuation(absl::Time now, const FleetRecord &record, const std::string &source) -> void
+{
+    logChange(LogLevel::Info, record.isRemoved_ ? "evacuation_ended" : "evacuation_begun", record, source, {});
+    if (record.isRemoved_) {
+        markZoneCold(now, record.name_);
+    }
+}
+
+// Backend servers that had no requests for a while may have lost their caches before their registration says so.
+auto FleetState::markZoneCold(absl::Time now, const std::string &zone) -> void
+{
+    if (!policy_) {
+        return;
+    }
+    for (auto &[name, known] : backends_) {
+        const auto *service = policy_->findService(known.backend_.registration_.service_);
+        if (known.backend_.registration_.server_.zone_ == zone && service != nullptr) {
+            known.backend_.coldUntil_ = std::max(known.backend_.coldUntil_, now + service->coldStart_);
+        }
+    }
+}
+
+auto FleetState::takeOverBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void
+{
+    if (record.isRemoved_) {
+        removeBackend(now, record, source);
+        return;
+    }
+    auto decoded = attempt([&] {
+        return decoders_.backend_(record.name_, record.value_);
+    });
+    if (const auto *error = std::get_if<Error>(&decoded)) {
+        logChange(LogLevel::Warning, "backend_ignored", record, source, { { "reason", describe(*error) } });
+        backends_.erase(record.name_);
+        return;
+    }
+    auto backend = FleetBackend { std::get<DiscoveredBackend>(std::move(decoded)), "", stableHash(record.name_), absl::InfinitePast() };
+    const auto region = zones_.find(backend.registration_.server_.zone_);
+    if (region == zones_.end()) {
+        logChange(LogLevel::Warning, "backend_ignored", record, source, { { "reason", "its zone is unknown" } });
+        backends_.erase(record.name_);
+        return;
+    }
+    backend.region_ = region->second;
+    if (backend.registration_.coldLeft_ > absl::ZeroDuration()) {
+        backend.coldUntil_ = now + backend.registration_.coldLeft_;
+    }
+    const auto &registration = backend.registration_;
+    logChange(LogLevel::Info,
+              "backend_registered",
+              record,
+              source,
+              { { "service", registration.service_ },
+                { "zone", registration.server_.zone_ },
+                { "address", registration.server_.address_ },
+                { "draining", registration.isDraining_ ? "true" : "false" },
+                { "cold_ms", fmt::format("{}", absl::ToInt64Milliseconds(registration.coldLeft_)) },
+                { "incarnation", fmt::format("{}", registration.incarnation_) } });
+    backends_[record.name_] = { std::move(backend), record.revision_ };
+}
+
+auto FleetState::removeBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void
+{
+    const auto found = backends_.find(record.name_);
+    if (found == backends_.end()) {
+        return;
+    }
+    const auto isLapse = (!isStoreReachable_ || now - storeRecoveredAt_ < reregistrationTime) && !found->second.backend_.registration_.isDraining_;
+    logChange(LogLevel::Info, "backend_removed", record, source, { { "kept_for_reregistration", isLapse ? "true" : "false" } });
+    if (isLapse) {
+        found->second.backend_.usableUntil_ = now + reregistrationTime;
+        return;
+    }
+    backends_.erase(found);
+}
+
+auto FleetState::rebuild() -> void
+{
+    auto view = std::make_shared<FleetView>();
+    view->asOf_ = book_.asOf();
+    view->policy_ = policy_;
+    for (const auto &[name, known] : backends_) {
+        if (!known.backend_.registration_.isDraining_) {
+            view->backends_[known.backend_.registration_.service_].push_back(known.backend_);
+        }
+    }
+    for (const auto *record : book_.recordsOf(RecordKind::Evacuation)) {
+        view->evacuatedZones_.insert(record->name_);
+    }
+    view_ = std::move(view);
+}
+
+auto FleetState::view() const -> FleetViewPointer
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return view_;
+}
+
+auto FleetState::changesAfter(std::int64_t revision) const -> RecordBatch
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return book_.changesAfter(revision);
+}
+
+auto FleetState::asOf() const -> std::int64_t
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return book_.asOf();
+}
+
+auto FleetState::hostRecords() const -> std::map<std::string, std::string>
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    auto records = std::map<std::string, std::string> {};
+    for (const auto *record : book_.recordsOf(RecordKind::Host)) {
+        records[record->name_] = record->value_;
+    }
+    return records;
+}
+
+auto FleetState::noteStore(absl::Time now, bool isReachable) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    if (isReachable && !isStoreReachable_) {
+        storeRecoveredAt_ = now;
+    }
+    if (isReachable != isStoreReachable_) {
+        logLine(wallNow(), LogLevel::Warning, isReachable ? "store_regained" : "store_lost", { { "revision", fmt::format("{}", book_.asOf()) } });
+    }
+    isStoreReachable_ = isReachable;
+    if (isReachable) {
+        storeHeardAt_ = now;
+    }
+}
+
+auto FleetState::storeHeardAt() const -> absl::Time
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return storeHeardAt_;
+}
+
+}
--- /dev/null
+++ b/libraries/process/fleetstate.h
@@ -0,0 +1,75 @@
+/** What this host knows of its deployment: the records, and the view that requests use. */
+#pragma once
+
+#include "process/recordbook.h"
+#include "process/recordstore.h"
+#include "version/fleetview.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** Keeps the records and builds views from them. Thread-safe. Times are monotonic. */
+class FleetState
+{
+public:
+    FleetState(ZoneRegions zones, RecordDecoders decoders);
+
+    /** Takes over changes and logs what they change; the source names where they come from in the log. */
+    auto apply(absl::Time now, const RecordBatch &batch, const std::string &source) -> void;
+
+    /** The newest view. */
+    [[nodiscard]] auto view() const -> FleetViewPointer;
+
+    /** What has changed after a revision, for a peer. */
+    [[nodiscard]] auto changesAfter(std::int64_t revision) const -> RecordBatch;
+
+    /** The records are complete up to this revision. */
+    [[nodiscard]] auto asOf() const -> std::int64_t;
+
+    /** Registrations of entry hosts, by name. */
+    [[nodiscard]] auto hostRecords() const -> std::map<std::string, std::string>;
+
+    /** Notes that the store answers or that it does not, which decides what a missing registration means. */
+    auto noteStore(absl::Time now, bool isReachable) -> void;
+
+    /** Monotonic time at which the store last answered. */
+    [[nodiscard]] auto storeHeardAt() const -> absl::Time;
+
+private:
+    /** A backend server as last decoded from its record. */
+    struct KnownBackend
+    {
+        FleetBackend backend_;
+        std::int64_t revision_ = 0;
+    };
+
+    auto takeOver(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto takeOverPolicy(const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto takeOverBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto takeOverEvacuation(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto removeBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto markZoneCold(absl::Time now, const std::string &zone) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto rebuild() -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    const ZoneRegions zones_;
+    const RecordDecoders decoders_;
+    mutable absl::Mutex mutex_;
+    RecordBook book_ ABSL_GUARDED_BY(mutex_);
+    PolicyPointer policy_ ABSL_GUARDED_BY(mutex_);
+    std::map<std::string, KnownBackend> backends_ ABSL_GUARDED_BY(mutex_);
+    FleetViewPointer view_ ABSL_GUARDED_BY(mutex_);
+    absl::Time storeHeardAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+    absl::Time storeRecoveredAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+    bool isStoreReachable_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+}
--- /dev/null
+++ b/libraries/process/hostgossip.h
@@ -0,0 +1,89 @@
+/** Exchanges heartbeats with other hosts by datagrams, and notices peers whose records are newer. */
+#pragma once
+
+#include "connection/datagramsocket.h"
+#include "core/error.h"
+#include "process/fleetstate.h"
+#include "process/hosttable.h"
+#include "request/crashguard.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** A peer whose records are newer than those of this host. */
+struct NewerPeer
+{
+    std::string peerAddress_;
+    std::int64_t asOf_ = 0;
+};
+
+/** What heartbeats need from the process; all outlive them. */
+struct GossipServices
+{
+    fleet::HostIdentity self_;
+    /** Gossip addresses of hosts that may know others when this one starts. */
+    std::vector<std::string> seeds_;
+    ZoneRegions zones_;
+    FleetState *state_ = nullptr;
+    std::function<HostStage()> stage_;
+    /** Crash records to pass on, and those heard. */
+    std::function<std::vector<CrashRecord>(absl::Time)> crashes_;
+    std::function<void(absl::Time, const CrashRecord &)> hearCrash_;
+    /** Called when a peer's records are newer. */
+    std::function<void(const NewerPeer &)> newerPeer_;
+};
+
+/** Sends and receives heartbeats in a thread of its own. Thread-safe. */
+class HostGossip
+{
+public:
+    explicit HostGossip(GossipServices services);
+    ~HostGossip();
+    HostGossip(const HostGossip &) = delete;
+    auto operator=(const HostGossip &) -> HostGossip & = delete;
+
+    /** Binds and starts. Errors: the address cannot be used. */
+    [[nodiscard]] auto start() -> Result<void>;
+    auto stop() -> void;
+
+    /** Tells a few peers at once, such as that this host is leaving. */
+    auto announce(absl::Time now) -> void;
+
+    [[nodiscard]] auto readyHosts(absl::Time now) const -> std::vector<KnownHost>;
+    [[nodiscard]] auto aliveHosts(absl::Time now) const -> std::vector<KnownHost>;
+    [[nodiscard]] auto shareHolders(absl::Time now) const -> std::vector<std::uint64_t>;
+    [[nodiscard]] auto addressedHosts() const -> std::vector<KnownHost>;
+
+private:
+    auto run() -> void;
+    auto tick(absl::Time now) -> void;
+    auto hear(absl::Time now, const std::string &data) -> void;
+    auto chooseTargets(absl::Time now) -> std::vector<std::string>;
+    auto message(absl::Time now) -> std::string;
+    auto send(const std::string &address, const std::string &data) -> void;
+    auto regionOf(const std::string &zone) const -> std::string;
+
+    const GossipServices services_;
+    mutable absl::Mutex mutex_;
+    HostTable table_ ABSL_GUARDED_BY(mutex_);
+    std::mt19937_64 random_ ABSL_GUARDED_BY(mutex_);
+    std::int64_t ticks_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::optional<DatagramSocket> socket_;
+    std::atomic<bool> stopping_ = false;
+    std::thread thread_;
+};
+
+}
--- /dev/null
+++ b/libraries/process/hostregistration.h
@@ -0,0 +1,18 @@
+/** The registration of an entry host in the store. */
+#pragma once
+
+#include "core/error.h"
+#include "generated/fleet_types.h"
+
+#include <string>
+
+namespace lycheecleat
+{
+
+/** The stored form of a registration, as JSON. */
+[[nodiscard]] auto encodeHostRegistration(const fleet::HostIdentity &identity) -> std::string;
+
+/** Errors: the text is not a registration. */
+[[nodiscard]] auto decodeHostRegistration(const std::string &name, const std::string &value) -> Result<fleet::HostIdentity>;
+
+}
--- /dev/null
+++ b/libraries/process/hosttable.cpp
@@ -0,0 +1,166 @@
+#include "process/hosttable.h"
+
+#include "core/clock.h"
+#include "core/digest.h"
+#include "core/log.h"
+
+#include <utility>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+/** A host whose heartbeat has not advanced for this long counts as dead. */
+constexpr auto aliveTime = absl::Milliseconds(2500);
+
+/** How long a silent host keeps its shares: it may be cut off and still serve callers. */
+constexpr auto shareRetention = absl::Seconds(60);
+
+auto isAlive(const KnownHost &host, absl::Time now) -> bool
+{
+    return now - host.heardAt_ < aliveTime;
+}
+
+}
+
+auto hostHash(const std::string &name) -> std::int32_t
+{
+    return static_cast<std::int32_t>(stableHash(name));
+}
+
+HostTable::HostTable(fleet::HostIdentity self)
+    : selfHash_(hostHash(self.name))
+{
+    auto &own = hosts_[selfHash_];
+    own.incarnation_ = self.incarnation;
+    own.identity_ = std::move(self);
+}
+
+auto HostTable::beat(absl::Time now, HostStage stage) -> void
+{
+    auto &own = hosts_[selfHash_];
+    own.sequence_ += 1;
+    own.stage_ = stage;
+    own.heardAt_ = now;
+    logLiveness(now);
+}
+
+auto HostTable::hear(absl::Time now, const fleet::Gossip &gossip) -> void
+{
+    for (const auto &heartbeat : gossip.heartbeats) {
+        hearOne(now, heartbeat);
+    }
+    learn({ gossip.sender });
+}
+
+auto HostTable::hearOne(absl::Time now, const fleet::Heartbeat &heartbeat) -> void
+{
+    auto &host = hosts_[heartbeat.host];
+    const auto heard = std::pair(heartbeat.incarnation, heartbeat.sequence);
+    if (heard <= std::pair(host.incarnation_, host.sequence_)) {
+        return;
+    }
+    if (heartbeat.host == selfHash_) {
+        // An earlier process of this host had a later clock; outdo it, or nobody would believe this one.
+        host.incarnation_ = heartbeat.incarnation + 1;
+        host.identity_->incarnation = host.incarnation_;
+        return;
+    }
+    host.incarnation_ = heartbeat.incarnation;
+    host.sequence_ = heartbeat.sequence;
+    host.stage_ = static_cast<HostStage>(heartbeat.state);
+    host.heardAt_ = now;
+}
+
+auto HostTable::learn(const std::vector<fleet::HostIdentity> &registered) -> void
+{
+    for (const auto &identity : registered) {
+        const auto hash = hostHash(identity.name);
+        auto &host = hosts_[hash];
+        if (hash != selfHash_ && (!host.identity_ || identity.incarnation >= host.identity_->incarnation)) {
+            host.identity_ = identity;
+        }
+    }
+}
+
+auto HostTable::heartbeats(absl::Time now) const -> std::vector<fleet::Heartbeat>
+{
+    auto heartbeats = std::vector<fleet::Heartbeat> {};
+    for (const auto &[hash, host] : hosts_) {
+        if (!isAlive(host, now)) {
+            continue;
+        }
+        auto heartbeat = fleet::Heartbeat {};
+        heartbeat.host = hash;
+        heartbeat.incarnation = host.incarnation_;
+        heartbeat.sequence = host.sequence_;
+        heartbeat.state = static_cast<std::int8_t>(host.stage_);
+        heartbeats.push_back(heartbeat);
+    }
+    return heartbeats;
+}
+
+auto HostTable::alive(absl::Time now) const -> std::vector<KnownHost>
+{
+    auto found = std::vector<KnownHost> {};
+    for (const auto &[hash, host] : hosts_) {
+        if (hash != selfHash_ && isAlive(host, now) && host.identity_) {
+            found.push_back(host);
+        }
+    }
+    return found;
+}
+
+auto HostTable::ready(absl::Time now) const -> std::vector<KnownHost>
+{
+    auto found = alive(now);
+    found.push_back(self());
+    std::erase_if(found, [](const KnownHost &host) {
+        return host.stage_ != HostStage::Ready;
+    });
+    return found;
+}
+
+auto HostTable::addressed() const -> std::vector<KnownHost>
+{
+    auto found = std::vector<KnownHost> {};
+    for (const auto &[hash, host] : hosts_) {
+        if (hash != selfHash_ && host.identity_) {
+            found.push_back(host);
+        }
+    }
+    return found;
+}
+
+auto HostTable::shareHolders(absl::Time now) const -> std::vector<std::uint64_t>
+{
+    auto hashes = std::vector<std::uint64_t> {};
+    for (const auto &[hash, host] : hosts_) {
+        if (hash == selfHash_ || now - host.heardAt_ < shareRetention) {
+            hashes.push_back(static_cast<std::uint64_t>(static_cast<std::uint32_t>(hash)));
+        }
+    }
+    return hashes;
+}
+
+auto HostTable::self() const -> const KnownHost &
+{
+    return hosts_.at(selfHash_);
+}
+
+auto HostTable::logLiveness(absl::Time now) -> void
+{
+    for (const auto &[hash, host] : hosts_) {
+        const auto alive = isAlive(host, now);
+        auto &logged = loggedAlive_[hash];
+        if (alive == logged || !host.identity_) {
+            continue;
+        }
+        logged = alive;
+        logLine(wallNow(), LogLevel::Info, alive ? "host_alive" : "host_silent", { { "host", host.identity_->name }, { "zone", host.identity_->zone } });
+    }
+}
+
+}
--- a/libraries/process/peerserver.cpp
+++ b/libraries/process/peerserver.cpp
@@ -68,7 +68,7 @@
 
 struct PeerServer::State
 {
-    std::shared_ptr<peer::PeerIf> handler_;
+    std::shared_ptr<apache::thrift::TProcessor> processor_;
     std::unique_ptr<TThreadedServer> server_;
     std::thread thread_;
     std::promise<std::string> listening_;
@@ -83,11 +83,11 @@
     }
 };
 
-PeerServer::PeerServer(std::string address, std::shared_ptr<peer::PeerIf> handler)
+PeerServer::PeerServer(std::string address, std::shared_ptr<apache::thrift::TProcessor> processor)
     : address_(std::move(address))
     , state_(std::make_unique<State>())
 {
-    state_->handler_ = std::move(handler);
+    state_->processor_ = std::move(processor);
 }
 
 PeerServer::~PeerServer()
@@ -101,10 +101,8 @@
     if (!address) {
         return makeError("listen for peers", address_, "is not an IP address with a port");
     }
-    state_->server_ = std::make_unique<TThreadedServer>(std::make_shared<peer::PeerProcessor>(state_->handler_),
-                                                        makeServerSocket(*address),
-                                                        std::make_shared<TFramedTransportFactory>(),
-                                                        std::make_shared<TBinaryProtocolFactory>());
+    state_->server_ = std::make_unique<TThreadedServer>(
+        state_->processor_, makeServerSocket(*address), std::make_shared<TFramedTransportFactory>(), std::make_shared<TBinaryProtocolFactory>());
     state_->server_->setServerEventHandler(std::make_shared<ListeningSignal>(state_->listening_));
     state_->thread_ = std::thread([this] {
         state_->serve();
--- a/libraries/process/peerserver.h
+++ b/libraries/process/peerserver.h
@@ -2,7 +2,8 @@
 #pragma once
 
 #include "core/error.h"
-#include "generated/Peer.h"
+
+#include <thrift/TProcessor.h>
 
 #include <memory>
 #include <string>
@@ -15,7 +16,7 @@
 {
 public:
     /** The IP address and port to listen on, and what answers the calls. */
-    PeerServer(std::string address, std::shared_ptr<peer::PeerIf> handler);
+    PeerServer(std::string address, std::shared_ptr<apache::thrift::TProcessor> processor);
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     auto operator=(const PeerServer &) -> PeerServer & = delete;
--- a/libraries/process/peerservertest.cpp
+++ b/libraries/process/peerservertest.cpp
@@ -3,6 +3,7 @@
 #include "connection/peerclients.h"
 #include "core/clock.h"
 #include "core/testaddress.h"
+#include "generated/Peer.h"
 
 #include <absl/synchronization/notification.h>
 #include <absl/time/clock.h>
@@ -52,7 +53,7 @@
 
 TEST_CASE("a peer's call reaches the server and its reply comes back")
 {
-    auto server = PeerServer(serverAddress(), std::make_shared<EchoPeer>());
+    auto server = PeerServer(serverAddress(), std::make_shared<peer::PeerProcessor>(std::make_shared<EchoPeer>()));
     REQUIRE(server.start());
     auto clients = PeerClients();
     CHECK(nameOf(clients, serverAddress(), "one", absl::Seconds(2)) == "one");
@@ -62,7 +63,7 @@
 // Guards against a late reply that is taken for the reply of the next call on the same connection.
 TEST_CASE("a call that timed out leaves no reply for the next call")
 {
-    auto server = PeerServer(serverAddress(), std::make_shared<EchoPeer>());
+    auto server = PeerServer(serverAddress(), std::make_shared<peer::PeerProcessor>(std::make_shared<EchoPeer>()));
     REQUIRE(server.start());
     auto clients = PeerClients();
     CHECK(nameOf(clients, serverAddress(), "first", absl::Seconds(2)) == "first");
@@ -76,14 +77,14 @@
 {
     auto clients = PeerClients();
     {
-        auto server = PeerServer(serverAddress(), std::make_shared<EchoPeer>());
+        auto server = PeerServer(serverAddress(), std::make_shared<peer::PeerProcessor>(std::make_shared<EchoPeer>()));
         REQUIRE(server.start());
         CHECK(nameOf(clients, serverAddress(), "one", absl::Seconds(2)) == "one");
         const auto before = monotonicNow();
         server.stop();
         CHECK(monotonicNow() - before < absl::Seconds(5));
     }
-    auto server = PeerServer(serverAddress(), std::make_shared<EchoPeer>());
+    auto server = PeerServer(serverAddress(), std::make_shared<peer::PeerProcessor>(std::make_shared<EchoPeer>()));
     REQUIRE(server.start());
     static_cast<void>(nameOf(clients, serverAddress(), "lost", absl::Seconds(2)));
     CHECK(nameOf(clients, serverAddress(), "two", absl::Seconds(2)) == "two");
@@ -91,10 +92,10 @@
 
 TEST_CASE("start reports an address that can't be used")
 {
-    auto first = PeerServer(serverAddress(), std::make_shared<EchoPeer>());
+    auto first = PeerServer(serverAddress(), std::make_shared<peer::PeerProcessor>(std::make_shared<EchoPeer>()));
     REQUIRE(first.start());
-    auto second = PeerServer(serverAddress(), std::make_shared<EchoPeer>());
-    auto malformed = PeerServer("nowhere", std::make_shared<EchoPeer>());
+    auto second = PeerServer(serverAddress(), std::make_shared<peer::PeerProcessor>(std::make_shared<EchoPeer>()));
+    auto malformed = PeerServer("nowhere", std::make_shared<peer::PeerProcessor>(std::make_shared<EchoPeer>()));
     for (auto *server : { &second, &malformed }) {
         const auto outcome = attempt([&] {
             return server->start();
--- /dev/null
+++ b/libraries/process/quotakeeper.h
@@ -0,0 +1,43 @@
+/** This host's shares of the organisations' rates. */
+#pragma once
+
+#include "request/windowquota.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/synchronization/mutex.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** Counts admitted requests by organisation, in shards, each under its own lock. Thread-safe. Times are monotonic. */
+class QuotaKeeper
+{
+public:
+    /** How limits are counted, this host's name, and the time at which the process started. */
+    QuotaKeeper(QuotaTerms terms, const std::string &hostName, absl::Time startedAt);
+
+    /** Admits a request of an organisation, given the hosts among which its limit is split. */
+    [[nodiscard]] auto admitRequest(absl::Time now, const Organisation &limits, const std::vector<std::uint64_t> &hosts) -> bool;
+
+private:
+    struct Shard
+    {
+        absl::Mutex mutex_;
+        absl::flat_hash_map<std::string, WindowQuota> quotas_ ABSL_GUARDED_BY(mutex_);
+    };
+    static constexpr auto shardCount = std::size_t { 8 };
+
+    const QuotaTerms terms_;
+    const std::uint64_t self_;
+    const absl::Time startedAt_;
+    std::array<Shard, shardCount> shards_;
+};
+
+}
--- /dev/null
+++ b/libraries/process/recordfollower.h
@@ -0,0 +1,71 @@
+/** Follows the store's records, keeps this host registered, and catches up from peers when the store does not serve this host. */
+#pragma once
+
+#include "process/fleetstate.h"
+#include "process/hostgossip.h"
+#include "process/recordstore.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** What following needs; all outlive it. */
+struct RecordFollowerServices
+{
+    RecordStore store_;
+    FleetState *state_ = nullptr;
+    std::string hostName_;
+    /** The registration to keep in the store. */
+    std::string registration_;
+    /** Addresses of hosts to ask while no peer is known. */
+    std::vector<std::string> seeds_;
+};
+
+/** Three threads: one watches the store, one keeps the registration, one fetches newer records from peers. Thread-safe. */
+class RecordFollower
+{
+public:
+    explicit RecordFollower(RecordFollowerServices services);
+    ~RecordFollower();
+    RecordFollower(const RecordFollower &) = delete;
+    auto operator=(const RecordFollower &) -> RecordFollower & = delete;
+
+    auto start() -> void;
+
+    /** Ends the threads; a waiting watch delays it, so that a process that exits need not call it. */
+    auto stop() -> void;
+
+    /** A peer has newer records; they are fetched unless the store brings them first. */
+    auto hearOf(const NewerPeer &peer) -> void;
+
+    /** Ends the registration of a host that leaves. */
+    auto deregister() -> void;
+
+private:
+    auto watch() -> void;
+    auto readAll(absl::Time now) -> bool;
+    auto watchOnce() -> bool;
+    auto keepRegistered() -> void;
+    auto catchUp() -> void;
+    auto fetchFrom(const std::string &peerAddress) -> bool;
+    auto fetchFromSeeds() -> void;
+
+    const RecordFollowerServices services_;
+    absl::Notification stopping_;
+    absl::Mutex mutex_;
+    std::optional<NewerPeer> newer_ ABSL_GUARDED_BY(mutex_);
+    std::optional<HostLease> lease_ ABSL_GUARDED_BY(mutex_);
+    bool isLeaving_ ABSL_GUARDED_BY(mutex_) = false;
+    std::vector<std::thread> threads_;
+};
+
+}
--- a/libraries/process/requesthandlertest.cpp
+++ b/libraries/process/requesthandlertest.cpp
@@ -431,7 +431,7 @@
     CHECK(unreachable.get_header_value("X-Request-Outcome") == "unknown");
     auto services = PeerServices {};
     services.requests_ = &owner.handler_;
-    auto server = PeerServer(peerAddress, std::make_shared<PeerHandler>(services));
+    auto server = PeerServer(peerAddress, std::make_shared<peer::PeerProcessor>(std::make_shared<PeerHandler>(services)));
     REQUIRE(server.start());
     for (auto *host : { &other, &owner, &other }) {
         const auto response = host->handle("POST", "/once", headers, "body");
--- /dev/null
+++ b/libraries/request/backendcondition.h
@@ -0,0 +1,88 @@
+/** What one host has seen of a backend server, and whether it sends it more. */
+#pragma once
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** A backend server's own report of its load. */
+struct LoadReport
+{
+    int running_ = 0;
+    int waiting_ = 0;
+    int slots_ = 0;
+
+    auto operator==(const LoadReport &other) const -> bool = default;
+};
+
+/** How an exchange with a backend server ended, as far as its condition is concerned. */
+enum class BackendSign {
+    /** It answered, whatever the answer says about the request. */
+    Answered,
+    /** It answered that it failed to handle the request. */
+    Failed,
+    /** It rejected the request without running it, being full. */
+    Full,
+    /** It could not be connected to. */
+    Unreachable,
+    /** The connection ended without a whole answer. */
+    Broken,
+    /** No answer came in time. */
+    Silent,
+};
+
+/** Condition of one backend server, from this host's own exchanges. Times are monotonic. */
+struct BackendCondition
+{
+    /** Start of the process that the condition is about. */
+    std::int64_t incarnation_ = 0;
+    int inFlight_ = 0;
+    LoadReport load_;
+    absl::Time loadAt_ = absl::InfinitePast();
+    /** Moving average of failed exchanges, 0 to 1. */
+    double failureShare_ = 0;
+    int consecutiveFailures_ = 0;
+    absl::Time ejectedUntil_ = absl::InfinitePast();
+    absl::Duration ejection_;
+    absl::Time fullUntil_ = absl::InfinitePast();
+    /** Times of the requests sent while it was cold. */
+    std::deque<absl::Time> coldSends_;
+};
+
+/** The condition after an exchange. */
+auto noteSign(BackendCondition &condition, absl::Time now, BackendSign sign, const std::optional<LoadReport> &load) -> void;
+
+/** Whether the backend server is left out because of its failures. */
+[[nodiscard]] auto isEjected(const BackendCondition &condition, absl::Time now) -> bool;
+
+/** Whether a request would have to wait at the backend server. */
+[[nodiscard]] auto isFull(const BackendCondition &condition, absl::Time now) -> bool;
+
+/** How many requests a second one host may send to a cold backend server, and whether it is among the hosts that may. */
+struct ColdAllowance
+{
+    bool isSender_ = false;
+    int requestsPerSecond_ = 0;
+
+    auto operator==(const ColdAllowance &other) const -> bool = default;
+};
+
+/**
+ * Splits what a cold backend server tolerates over a few hosts, chosen alike everywhere. Only a subset sends at all, since a part of less than one
+ * request a second for each host could not be kept.
+ */
+[[nodiscard]] auto coldAllowance(double requestsPerSecond, const std::vector<std::uint64_t> &hosts, std::uint64_t self, std::uint64_t backend) -> ColdAllowance;
+
+/** Takes one request out of a cold backend server's allowance; false when it is used up. */
+[[nodiscard]] auto takeColdRequest(BackendCondition &condition, absl::Time now, const ColdAllowance &allowance) -> bool;
+
+/** Whether the allowance has room, without using it. */
+[[nodiscard]] auto hasColdRoom(const BackendCondition &condition, absl::Time now, const ColdAllowance &allowance) -> bool;
+
+}
--- /dev/null
+++ b/libraries/request/regionflow.cpp
@@ -0,0 +1,53 @@
+#include "request/regionflow.h"
+
+#include <algorithm>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+auto sumOf(const RegionAmounts &amounts) -> double
+{
+    auto sum = 0.0;
+    for (const auto &[region, amount] : amounts) {
+        sum += amount;
+    }
+    return sum;
+}
+
+auto partOf(const RegionAmounts &amounts, const std::string &region, double sum) -> double
+{
+    const auto found = amounts.find(region);
+    return found == amounts.end() || sum <= 0 ? 0 : found->second / sum;
+}
+
+}
+
+auto regionFlow(const RegionAmounts &demands, const RegionAmounts &capacities, const std::string &region) -> RegionAmounts
+{
+    const auto capacitySum = sumOf(capacities);
+    const auto demandSum = sumOf(demands);
+    auto flow = RegionAmounts {};
+    if (capacitySum <= 0) {
+        return flow;
+    }
+    const auto ownDemand = partOf(demands, region, demandSum);
+    const auto ownCapacity = partOf(capacities, region, capacitySum);
+    const auto kept = ownDemand > 0 ? std::min(1.0, ownCapacity / ownDemand) : 0;
+    // What a region cannot keep goes to the others in proportion to what they have left.
+    auto spares = RegionAmounts {};
+    for (const auto &[other, capacity] : capacities) {
+        spares[other] = std::max(0.0, capacity / capacitySum - partOf(demands, other, demandSum));
+    }
+    spares[region] = 0;
+    const auto spareSum = sumOf(spares);
+    for (const auto &[other, spare] : spares) {
+        flow[other] = spareSum > 0 ? (1 - kept) * spare / spareSum : 0;
+    }
+    flow[region] += spareSum > 0 ? kept : 1;
+    return flow;
+}
+
+}
--- a/libraries/request/retrybudget.cpp
+++ b/libraries/request/retrybudget.cpp
@@ -7,7 +7,8 @@
 
 auto withRequest(RetryBudget budget) -> RetryBudget
 {
-    return { std::min(budget.saved_ + retryShare, maximumSavedRetries) };
+    budget.saved_ = std::min(budget.saved_ + budget.share_, budget.maximumSaved_);
+    return budget;
 }
 
 auto mayRetry(RetryBudget budget) -> bool
@@ -17,7 +18,8 @@
 
 auto withRetry(RetryBudget budget) -> RetryBudget
 {
-    return { budget.saved_ - 1.0 };
+    budget.saved_ -= 1.0;
+    return budget;
 }
 
 }
--- a/libraries/request/retrybudget.h
+++ b/libraries/request/retrybudget.h
@@ -14,6 +14,9 @@
 struct RetryBudget
 {
     double saved_ = maximumSavedRetries;
+    /** Retries that each request adds, and the most that are saved up. */
+    double share_ = retryShare;
+    double maximumSaved_ = maximumSavedRetries;
 
     auto operator==(const RetryBudget &other) const -> bool = default;
 };
--- /dev/null
+++ b/libraries/version/discoveredbackend.h
@@ -0,0 +1,32 @@
+/** A backend server that has registered itself. */
+#pragma once
+
+#include "version/backendserver.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+
+namespace lycheecleat
+{
+
+/** A backend server as its registration describes it. */
+struct DiscoveredBackend
+{
+    /** The name is the identifier of the registration. */
+    BackendServer server_;
+    std::string service_;
+    /** Requests that it processes at once. */
+    int slots_ = 1;
+    /** It has announced that it leaves. */
+    bool isDraining_ = false;
+    /** How much longer it is cold, counted from when the registration was written. */
+    absl::Duration coldLeft_;
+    /** Identifies one start of the process; a restart under the same name has another value. */
+    std::int64_t incarnation_ = 0;
+
+    auto operator==(const DiscoveredBackend &other) const -> bool = default;
+};
+
+}
--- /dev/null
+++ b/libraries/version/fleetrecord.h
@@ -0,0 +1,49 @@
+/** Records that describe a deployment, as the platform's store holds them. */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lycheecleat
+{
+
+/** What a record describes. */
+enum class RecordKind {
+    /** The traffic policy; there is one. */
+    Policy,
+    /** An order to send nothing to a zone; the name is the zone. */
+    Evacuation,
+    /** A backend server's registration; the name is its identifier. */
+    Backend,
+    /** An entry host's registration; the name is the host's. */
+    Host,
+};
+
+/** A change of one record. */
+struct FleetRecord
+{
+    RecordKind kind_ = RecordKind::Policy;
+    std::string name_;
+    /** Revision of the store at which the record changed. */
+    std::int64_t revision_ = 0;
+    bool isRemoved_ = false;
+    /** The bytes as stored; empty when removed. */
+    std::string value_;
+
+    auto operator==(const FleetRecord &other) const -> bool = default;
+};
+
+/** Changes up to a revision of the store. */
+struct RecordBatch
+{
+    /** The records are complete up to this revision. */
+    std::int64_t asOf_ = 0;
+    /** All records there are, so that what is missing has been removed. */
+    bool isFull_ = false;
+    std::vector<FleetRecord> records_;
+
+    auto operator==(const RecordBatch &other) const -> bool = default;
+};
+
+}
--- a/services/lycheecleatd/main.cpp
+++ b/services/lycheecleatd/main.cpp
@@ -1,4 +1,5 @@
 /** The daemon of one entry host. */
+#include "adapter.h"
 #include "core/clock.h"
 #include "core/log.h"
 #include "process/daemon.h"
@@ -9,6 +10,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 
 namespace
@@ -20,10 +22,12 @@
 
 Usage:
   lycheecleatd --settings FILE
+  lycheecleatd --platform
   lycheecleatd --help
 
 Options:
   --settings FILE  YAML settings of this host, see docs/operations.md.
+  --platform       Run on the users' platform, with the settings that it provides, see docs/platform.md.
 )";
 
 constexpr auto exitFailure = 1;
@@ -56,6 +60,41 @@
     return false;
 }
 
+auto reportFailure(const Error &error) -> void
+{
+    logLine(wallNow(), LogLevel::Error, "start_failed", { { "error", describe(error) } });
+}
+
+auto runOnPlatform() -> int
+{
+    auto log = LogSettings {};
+    log.format_ = LogFormat::Json;
+    log.stream_ = LogStream::Output;
+    configureLog(log);
+    const auto signals = blockStopSignals();
+    const auto settings = attempt([] {
+        return platform::readNodeSettings();
+    });
+    if (const auto *error = std::get_if<Error>(&settings)) {
+        reportFailure(*error);
+        return exitWrongSettings;
+    }
+    const auto &node = std::get<platform::NodeSettings>(settings);
+    auto daemon = FleetDaemon(node.daemon_, platform::makeAdapter(node));
+    const auto started = attempt([&] {
+        return daemon.start();
+    });
+    if (const auto *error = std::get_if<Error>(&started)) {
+        reportFailure(*error);
+        std::_Exit(exitFailure);
+    }
+    auto signal = 0;
+    sigwait(&signals, &signal);
+    daemon.stop();
+    // Threads that wait for the store or for callers would only delay the end.
+    std::_Exit(0);
+}
+
 auto run(const DaemonSettings &settings) -> int
 {
     const auto signals = blockStopSignals();
@@ -77,6 +116,9 @@
 auto main(int argc, char **argv) -> int
 {
     const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true);
+    if (arguments.at("--platform").asBool()) {
+        return runOnPlatform();
+    }
     const auto file = arguments.at("--settings").asString();
     const auto settings = attempt([&]() -> Result<DaemonSettings> {
         BOOST_LEAF_AUTO(read, readSettings(file));
