--- a/libraries/process/configurationfollowerspreadtest.cpp
+++ b/libraries/process/configurationfollowerspreadtest.cpp
@@ -1,6 +1,7 @@
 #include "process/configurationfollower.h"
 
 #include "core/clock.h"
+#include "generated/Peer.h"
 #include "core/digest.h"
 #include "core/testaddress.h"
 #include "process/peerserver.h"
@@ -152,7 +153,7 @@
                                        [this](const std::vector<std::string> &) {
                                            ++leavingUpdates_;
                                        } })
-        , server_(peerAddress(index), std::shared_ptr<peer::PeerIf>(this, [](peer::PeerIf *) {}))
+        , server_(peerAddress(index), std::make_shared<peer::PeerProcessor>(std::shared_ptr<peer::PeerIf>(this, [](peer::PeerIf *) {})))
     {
         REQUIRE(server_.start());
         membership_.start();
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -93,7 +93,7 @@
     : settings_(std::move(settings))
     , adapter_(std::move(adapter))
     , identity_(identityOf(settings_))
-    , state_(settings_.zones_, adapter_.decoders_)
+    , state_(settings_.zones_, settings_.zone_, adapter_.decoders_)
     , requests_(SteeringServices { settings_.name_,
                                    settings_.zone_,
                                    settings_.zones_,
--- a/libraries/process/fleetstate.cpp
+++ b/libraries/process/fleetstate.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/digest.h"
 #include "core/log.h"
+#include "request/regionflow.h"
 
 #include <fmt/format.h>
 
@@ -19,6 +20,9 @@
 /** How long a backend server whose registration is missing after a store outage stays in use: a living one registers again within this time. */
 constexpr auto reregistrationTime = absl::Seconds(2);
 
+/** Part of the objects that is kept in its own region where possible; the others are spread over all regions, which evens out uneven demand. */
+constexpr auto localPart = 0.5;
+
 auto logChange(LogLevel level, const char *event, const FleetRecord &record, const std::string &source, std::vector<LogField> more) -> void
 {
     auto fields = std::vector<LogField> { { "name", record.name_ }, { "revision", fmt::format("{}", record.revision_) }, { "source", source } };
@@ -28,10 +32,61 @@
     logLine(wallNow(), level, event, fields);
 }
 
+// Every zone is taken to have the same demand, so that the weights of one host do not depend on what it has heard of others.
+auto setWeights(std::vector<FleetBackend> &backends,
+                const ZoneRegions &zones,
+                const std::string &ownRegion,
+                const absl::flat_hash_set<std::string> &evacuatedZones) -> void
+{
+    auto demands = RegionAmounts {};
+    for (const auto &[zone, region] : zones) {
+        demands[region] += 1;
+    }
+    auto capacities = RegionAmounts {};
+    for (const auto &backend : backends) {
+        if (!evacuatedZones.contains(backend.registration_.server_.zone_)) {
+            capacities[backend.region_] += backend.registration_.slots_;
+        }
+    }
+    auto flow = regionFlow(demands, capacities, ownRegion);
+    auto total = 0.0;
+    for (const auto &[region, capacity] : capacities) {
+        total += capacity;
+    }
+    for (auto &backend : backends) {
+        const auto capacity = capacities[backend.region_];
+        const auto local = capacity > 0 ? flow[backend.region_] / capacity : 0;
+        const auto even = total > 0 ? 1 / total : 0;
+        backend.weight_ = backend.registration_.slots_ * (localPart * local + (1 - localPart) * even);
+    }
 }
 
-FleetState::FleetState(ZoneRegions zones, RecordDecoders decoders)
+auto logLimitChanges(const PolicyPointer &previous, const PolicyIndex &next) -> void
+{
+    for (const auto &organisation : next.policy().organisations_) {
+        const auto &limits = organisation.limits_;
+        const auto isUnchanged = previous && std::any_of(previous->policy().organisations_.begin(),
+                                                         previous->policy().organisations_.end(),
+                                                         [&](const PolicyOrganisation &earlier) {
+                                                             return earlier.limits_ == limits;
+                                                         });
+        if (!isUnchanged) {
+            logLine(wallNow(),
+                    LogLevel::Info,
+                    "organisation_limit",
+                    { { "organisation", limits.name_ },
+                      { "rate", fmt::format("{}", limits.rate_) },
+                      { "burst", fmt::format("{}", limits.burst_) },
+                      { "version", fmt::format("{}", next.policy().version_) } });
+        }
+    }
+}
+
+}
+
+FleetState::FleetState(ZoneRegions zones, const std::string &ownZone, RecordDecoders decoders)
     : zones_(std::move(zones))
+    , ownRegion_(zones_.count(ownZone) == 0 ? std::string {} : zones_.at(ownZone))
     , decoders_(std::move(decoders))
     , view_(std::make_shared<FleetView>())
 {
@@ -91,7 +146,8 @@
                   { { "reason", "not newer than the version in force" }, { "version", fmt::format("{}", version) } });
         return;
     }
-    policy_ = std::make_shared<PolicyIndex>(std::move(policy));
+    const auto previous = std::exchange(policy_, std::make_shared<PolicyIndex>(std::move(policy)));
+    logLimitChanges(previous, *policy_);
     logChange(LogLevel::Info, "policy_in_force", record, source, { { "version", fmt::format("{}", version) } });
 }
 
@@ -184,6 +240,9 @@
     for (const auto *record : book_.recordsOf(RecordKind::Evacuation)) {
         view->evacuatedZones_.insert(record->name_);
     }
+    for (auto &[service, backends] : view->backends_) {
+        setWeights(backends, zones_, ownRegion_, view->evacuatedZones_);
+    }
     view_ = std::move(view);
 }
 
--- a/libraries/process/fleetstate.h
+++ b/libraries/process/fleetstate.h
@@ -21,7 +21,7 @@
 class FleetState
 {
 public:
-    FleetState(ZoneRegions zones, RecordDecoders decoders);
+    FleetState(ZoneRegions zones, const std::string &ownZone, RecordDecoders decoders);
 
     /** Takes over changes and logs what they change; the source names where they come from in the log. */
     auto apply(absl::Time now, const RecordBatch &batch, const std::string &source) -> void;
@@ -61,6 +61,7 @@
     auto rebuild() -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     const ZoneRegions zones_;
+    const std::string ownRegion_;
     const RecordDecoders decoders_;
     mutable absl::Mutex mutex_;
     RecordBook book_ ABSL_GUARDED_BY(mutex_);
--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -90,8 +90,14 @@
     return found == services_.zones_.end() ? std::string {} : found->second;
 }
 
-auto HostGossip::tick(absl::Time now) -> void
+// Reads the registrations of new records only, since this runs for each request as well.
+auto HostGossip::learnRegistered(absl::Time now) const -> void
 {
+    const auto asOf = services_.state_->asOf();
+    if (asOf == learnedAsOf_) {
+        return;
+    }
+    learnedAsOf_ = asOf;
     auto registered = std::vector<fleet::HostIdentity> {};
     for (const auto &[name, value] : services_.state_->hostRecords()) {
         const auto decoded = attempt([&] {
@@ -99,12 +105,19 @@
         });
         if (const auto *identity = std::get_if<fleet::HostIdentity>(&decoded)) {
             registered.push_back(*identity);
+        } else {
+            logLine(wallNow(), LogLevel::Warning, "host_ignored", { { "name", name }, { "reason", describe(std::get<Error>(decoded)) } });
         }
     }
+    table_.learn(now, registered);
+}
+
+auto HostGossip::tick(absl::Time now) -> void
+{
     auto targets = std::vector<std::string> {};
     {
         const auto lock = absl::MutexLock(&mutex_);
-        table_.learn(registered);
+        learnRegistered(now);
         table_.beat(now, services_.stage_());
         ticks_ += 1;
         targets = chooseTargets(now);
@@ -222,6 +235,7 @@
 auto HostGossip::shareHolders(absl::Time now) const -> std::vector<std::uint64_t>
 {
     const auto lock = absl::MutexLock(&mutex_);
+    learnRegistered(now);
     return table_.shareHolders(now);
 }
 
--- a/libraries/process/hostgossip.h
+++ b/libraries/process/hostgossip.h
@@ -70,6 +70,7 @@
 private:
     auto run() -> void;
     auto tick(absl::Time now) -> void;
+    auto learnRegistered(absl::Time now) const -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     auto hear(absl::Time now, const std::string &data) -> void;
     auto chooseTargets(absl::Time now) -> std::vector<std::string>;
     auto message(absl::Time now) -> std::string;
@@ -78,7 +79,9 @@
 
     const GossipServices services_;
     mutable absl::Mutex mutex_;
-    HostTable table_ ABSL_GUARDED_BY(mutex_);
+    mutable HostTable table_ ABSL_GUARDED_BY(mutex_);
+    /** Revision of the records whose registrations the table holds. */
+    mutable std::int64_t learnedAsOf_ ABSL_GUARDED_BY(mutex_) = -1;
     std::mt19937_64 random_ ABSL_GUARDED_BY(mutex_);
     std::int64_t ticks_ ABSL_GUARDED_BY(mutex_) = 0;
     std::optional<DatagramSocket> socket_;
--- a/libraries/process/hosttable.cpp
+++ b/libraries/process/hosttable.cpp
@@ -4,6 +4,7 @@
 #include "core/digest.h"
 #include "core/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheecleat
@@ -52,7 +53,11 @@
     for (const auto &heartbeat : gossip.heartbeats) {
         hearOne(now, heartbeat);
     }
-    learn({ gossip.sender });
+    const auto hash = hostHash(gossip.sender.name);
+    auto &sender = hosts_[hash];
+    if (hash != selfHash_ && (!sender.identity_ || gossip.sender.incarnation >= sender.identity_->incarnation)) {
+        sender.identity_ = gossip.sender;
+    }
 }
 
 auto HostTable::hearOne(absl::Time now, const fleet::Heartbeat &heartbeat) -> void
@@ -74,11 +79,12 @@
     host.heardAt_ = now;
 }
 
-auto HostTable::learn(const std::vector<fleet::HostIdentity> &registered) -> void
+auto HostTable::learn(absl::Time now, const std::vector<fleet::HostIdentity> &registered) -> void
 {
     for (const auto &identity : registered) {
         const auto hash = hostHash(identity.name);
         auto &host = hosts_[hash];
+        host.registeredAt_ = now;
         if (hash != selfHash_ && (!host.identity_ || identity.incarnation >= host.identity_->incarnation)) {
             host.identity_ = identity;
         }
@@ -138,7 +144,7 @@
 {
     auto hashes = std::vector<std::uint64_t> {};
     for (const auto &[hash, host] : hosts_) {
-        if (hash == selfHash_ || now - host.heardAt_ < shareRetention) {
+        if (hash == selfHash_ || now - std::max(host.heardAt_, host.registeredAt_) < shareRetention) {
             hashes.push_back(static_cast<std::uint64_t>(static_cast<std::uint32_t>(hash)));
         }
     }
--- a/libraries/process/hosttable.h
+++ b/libraries/process/hosttable.h
@@ -31,6 +31,8 @@
     HostStage stage_ = HostStage::Starting;
     /** Monotonic time at which its heartbeat last advanced. */
     absl::Time heardAt_ = absl::InfinitePast();
+    /** Monotonic time at which it was last known to be registered in the store. */
+    absl::Time registeredAt_ = absl::InfinitePast();
 };
 
 /** Stable hash that names a host in heartbeats. */
@@ -49,7 +51,7 @@
     auto hear(absl::Time now, const fleet::Gossip &gossip) -> void;
 
     /** Takes over registrations from the store, which tell addresses but nothing about liveness. */
-    auto learn(const std::vector<fleet::HostIdentity> &registered) -> void;
+    auto learn(absl::Time now, const std::vector<fleet::HostIdentity> &registered) -> void;
 
     /** Heartbeats to pass on. */
     [[nodiscard]] auto heartbeats(absl::Time now) const -> std::vector<fleet::Heartbeat>;
@@ -63,7 +65,10 @@
     /** Other hosts whose addresses are known, whether they are alive or not. */
     [[nodiscard]] auto addressed() const -> std::vector<KnownHost>;
 
-    /** Hashes of all hosts, including this one, that may still admit requests: those heard of within the retention time. */
+    /**
+     * Hashes of all hosts, including this one, that may admit requests: those heard of or registered within the retention time. A host that has
+     * just started knows the others by their registrations before it hears them.
+     */
     [[nodiscard]] auto shareHolders(absl::Time now) const -> std::vector<std::uint64_t>;
 
     [[nodiscard]] auto self() const -> const KnownHost &;
--- a/libraries/process/recordfollower.cpp
+++ b/libraries/process/recordfollower.cpp
@@ -20,7 +20,7 @@
 constexpr auto watchWait = absl::Seconds(10);
 
 /** Pause after changes, so that changes in quick succession need one call. */
-constexpr auto batchPause = absl::Milliseconds(100);
+constexpr auto batchPause = absl::Milliseconds(400);
 
 constexpr auto firstBackoff = absl::Milliseconds(100);
 constexpr auto longestBackoff = absl::Seconds(1);
--- a/libraries/process/steeringhandler.cpp
+++ b/libraries/process/steeringhandler.cpp
@@ -265,7 +265,7 @@
     for (const auto &backend : backends->second) {
         const auto &zone = backend.registration_.server_.zone_;
         if (!view.evacuatedZones_.contains(zone) && allowedRegions(run, backend.region_) && now < backend.usableUntil_) {
-            found.push_back({ &backend, static_cast<double>(backend.registration_.slots_) });
+            found.push_back({ &backend, backend.weight_ });
         }
     }
     return found;
--- a/libraries/version/fleetview.h
+++ b/libraries/version/fleetview.h
@@ -26,6 +26,8 @@
     std::uint64_t hash_ = 0;
     /** Monotonic time until which it counts as cold. */
     absl::Time coldUntil_ = absl::InfinitePast();
+    /** Relative share of the objects of this host's region for which it is first. */
+    double weight_ = 1;
     /** Monotonic time from which it gets no new requests, since its registration is missing. */
     absl::Time usableUntil_ = absl::InfiniteFuture();
 
