Wait at an object's server instead of spilling early, and refuse what would wait too long

Each host now estimates the wait at a backend server from its last load report and its service time; it spills from 400 ms, and refuses as not run what would wait for longer than a part of its objective that grows with urgency.

--- a/libraries/process/backendconditions.cpp
+++ b/libraries/process/backendconditions.cpp
@@ -59,8 +59,7 @@
     suitability.isEjected_ = isEjected(condition, now);
     suitability.isFull_ = isFull(condition, now);
     suitability.isColdFull_ = allowance && !hasColdRoom(condition, now, *allowance);
-    const auto slots = static_cast<double>(std::max(1, backend.registration_.slots_));
-    suitability.load_ = (condition.load_.running_ + condition.load_.waiting_ + condition.inFlight_) / slots;
+    suitability.wait_ = expectedWait(condition, now);
     return suitability;
 }
 
@@ -77,17 +76,13 @@
     return true;
 }
 
-auto BackendConditions::choose(absl::Time now,
-                               const std::vector<const FleetBackend *> &ranked,
-                               const std::vector<std::string> &tried,
-                               const ColdAllowanceOf &cold) -> BackendChoice
+auto BackendConditions::choose(absl::Time now, const ChoiceRequest &request, const ColdAllowanceOf &cold) -> BackendChoice
 {
-    auto leastFull = BackendChoice { nullptr, ChoiceReason::LeastFull, 0 };
-    auto leastLoad = 0.0;
-    auto ejected = BackendChoice { nullptr, ChoiceReason::Ejected, 0 };
-    for (auto rank = std::size_t { 0 }; rank < ranked.size(); ++rank) {
-        const auto *backend = ranked[rank];
-        if (std::find(tried.begin(), tried.end(), backend->registration_.server_.name_) != tried.end()) {
+    auto leastFull = BackendChoice { nullptr, ChoiceReason::LeastFull, absl::InfiniteDuration(), 0 };
+    auto ejected = BackendChoice { nullptr, ChoiceReason::Ejected, absl::ZeroDuration(), 0 };
+    for (auto rank = std::size_t { 0 }; rank < request.ranked_.size(); ++rank) {
+        const auto *backend = request.ranked_[rank];
+        if (std::find(request.tried_.begin(), request.tried_.end(), backend->registration_.server_.name_) != request.tried_.end()) {
             continue;
         }
         const auto suitability = suitabilityOf(now, *backend, cold);
@@ -95,20 +90,22 @@
             continue;
         }
         if (suitability.isEjected_) {
-            ejected = ejected.backend_ == nullptr ? BackendChoice { backend, ChoiceReason::Ejected, rank } : ejected;
+            ejected = ejected.backend_ == nullptr ? BackendChoice { backend, ChoiceReason::Ejected, suitability.wait_, rank } : ejected;
             continue;
         }
         if (suitability.isFull_) {
-            if (leastFull.backend_ == nullptr || suitability.load_ < leastLoad) {
-                leastFull = { backend, ChoiceReason::LeastFull, rank };
-                leastLoad = suitability.load_;
+            if (suitability.wait_ < leastFull.wait_) {
+                leastFull = { backend, ChoiceReason::LeastFull, suitability.wait_, rank };
             }
             continue;
         }
         if (begin(now, *backend, cold)) {
-            return { backend, rank == 0 ? ChoiceReason::First : ChoiceReason::Next, rank };
+            return { backend, rank == 0 ? ChoiceReason::First : ChoiceReason::Next, suitability.wait_, rank };
         }
     }
+    if (leastFull.backend_ != nullptr && leastFull.wait_ > request.longestWait_) {
+        return {};
+    }
     for (const auto &choice : { leastFull, ejected }) {
         if (choice.backend_ != nullptr && begin(now, *choice.backend_, cold)) {
             return choice;
@@ -117,13 +114,13 @@
     return {};
 }
 
-auto BackendConditions::end(absl::Time now, const FleetBackend &backend, BackendSign sign, const std::optional<LoadReport> &load) -> void
+auto BackendConditions::end(absl::Time now, const FleetBackend &backend, const ExchangeReport &report) -> void
 {
     auto &shard = shardOf(backend);
     const auto lock = absl::MutexLock(&shard.mutex_);
     auto &condition = conditionIn(shard.conditions_, backend);
     condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
-    noteSign(condition, now, sign, load);
+    noteExchange(condition, now, report);
 }
 
 auto BackendConditions::release(const FleetBackend &backend) -> void
--- a/libraries/process/backendconditions.h
+++ b/libraries/process/backendconditions.h
@@ -37,10 +37,23 @@
     /** Null when there is none that may be sent the request. */
     const FleetBackend *backend_ = nullptr;
     ChoiceReason reason_ = ChoiceReason::First;
+    /** Wait to expect there. */
+    absl::Duration wait_ = absl::ZeroDuration();
     /** Place in the object's order, from 0. */
     std::size_t rank_ = 0;
 };
 
+/** What a backend server is chosen for. */
+struct ChoiceRequest
+{
+    /** Backend servers in the object's order. */
+    const std::vector<const FleetBackend *> &ranked_;
+    /** Names of those that have had the request. */
+    const std::vector<std::string> &tried_;
+    /** Longest expected wait with which it is worth sending. */
+    absl::Duration longestWait_ = absl::InfiniteDuration();
+};
+
 /** Allowance of this host for a cold backend server. */
 using ColdAllowanceOf = std::function<ColdAllowance(const FleetBackend &)>;
 
@@ -52,12 +65,10 @@
      * Chooses among ranked backend servers and counts the request as in flight there. A cold backend server is chosen only within this host's
      * allowance.
      */
-    [[nodiscard]] auto
-    choose(absl::Time now, const std::vector<const FleetBackend *> &ranked, const std::vector<std::string> &tried, const ColdAllowanceOf &cold)
-        -> BackendChoice;
+    [[nodiscard]] auto choose(absl::Time now, const ChoiceRequest &request, const ColdAllowanceOf &cold) -> BackendChoice;
 
     /** Records how an exchange ended. */
-    auto end(absl::Time now, const FleetBackend &backend, BackendSign sign, const std::optional<LoadReport> &load) -> void;
+    auto end(absl::Time now, const FleetBackend &backend, const ExchangeReport &report) -> void;
 
     /** The exchange ended without telling anything about the backend server. */
     auto release(const FleetBackend &backend) -> void;
@@ -77,8 +88,7 @@
         bool isEjected_ = false;
         bool isFull_ = false;
         bool isColdFull_ = false;
-        /** Requests at the backend server for each slot, as far as this host knows. */
-        double load_ = 0;
+        absl::Duration wait_;
     };
     static constexpr auto shardCount = std::size_t { 16 };
 
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace lycheecleat
@@ -36,6 +37,9 @@
 
 constexpr auto readyListener = std::size_t { 1 };
 constexpr auto lookupListener = std::size_t { 2 };
+constexpr auto metricsListener = std::size_t { 3 };
+
+constexpr auto metricsPath = "/metrics";
 
 constexpr auto okStatus = 200;
 constexpr auto badRequestStatus = 400;
@@ -59,6 +63,9 @@
     auto callers = CallerServerSettings {};
     callers.address_ = settings.callerAddress_;
     callers.furtherAddresses_ = { settings.readyAddress_, settings.lookupAddress_ };
+    if (!settings.metricsAddress_.empty()) {
+        callers.furtherAddresses_.push_back(settings.metricsAddress_);
+    }
     callers.maximumRequests_ = settings.maximumRequests_;
     callers.maximumConnections_ = settings.maximumConnections_;
     return callers;
@@ -82,6 +89,13 @@
     const FleetState &state_;
 };
 
+auto processTimeSeconds() -> double
+{
+    auto used = timespec {};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return absl::ToDoubleSeconds(absl::DurationFromTimespec(used));
+}
+
 auto plainAnswer(int status) -> CallerAnswer
 {
     return { { status, {}, "" }, false, false };
@@ -91,6 +105,7 @@
 
 FleetDaemon::FleetDaemon(FleetDaemonSettings settings, FleetAdapter adapter)
     : settings_(std::move(settings))
+    , terms_(settings_.terms_)
     , adapter_(std::move(adapter))
     , identity_(identityOf(settings_))
     , state_(settings_.zones_, settings_.zone_, adapter_.decoders_)
@@ -98,7 +113,9 @@
                                    settings_.zone_,
                                    settings_.zones_,
                                    adapter_.protocol_,
-                                   settings_.terms_,
+                                   [this] {
+                                       return terms();
+                                   },
                                    &state_,
                                    [this](absl::Time now) {
                                        return gossip_->shareHolders(now);
@@ -106,7 +123,9 @@
                                    [this] {
                                        return isStopping_.load();
                                    },
-                                   nullptr })
+                                   [this](const RequestObservation &observation) {
+                                       metrics_.observe(observation);
+                                   } })
     , follower_(std::make_unique<RecordFollower>(
           RecordFollowerServices { adapter_.store_, &state_, settings_.name_, encodeHostRegistration(identity_), settings_.peerSeeds_ }))
     , gossip_(std::make_unique<HostGossip>(GossipServices { identity_,
@@ -160,15 +179,16 @@
 auto FleetDaemon::stop() -> void
 {
     const auto stoppedAt = monotonicNow();
+    const auto grace = terms().stopGrace_;
     isLeaving_ = true;
     logLine(wallNow(), LogLevel::Info, "stopping", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", requests_.inFlight()) } });
     gossip_->announce(stoppedAt);
     follower_->deregister();
-    while (monotonicNow() - stoppedAt < settings_.terms_.stopGrace_ * acceptingPart) {
+    while (monotonicNow() - stoppedAt < grace * acceptingPart) {
         absl::SleepFor(stopPoll);
     }
     isStopping_ = true;
-    while (requests_.inFlight() > 0 && monotonicNow() - stoppedAt < settings_.terms_.stopGrace_ * finishedPart) {
+    while (requests_.inFlight() > 0 && monotonicNow() - stoppedAt < grace * finishedPart) {
         absl::SleepFor(stopPoll);
     }
     logLine(wallNow(), LogLevel::Info, "stopped", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", requests_.inFlight()) } });
@@ -202,11 +222,64 @@
     if (request.listener_ == lookupListener) {
         return pathOfTarget(request.content_.target_) == adapter_.protocol_.lookupPath_ ? answerLookup(request) : plainAnswer(notFoundStatus);
     }
+    if (request.listener_ == metricsListener) {
+        return pathOfTarget(request.content_.target_) == metricsPath ? answerMetrics() : plainAnswer(notFoundStatus);
+    }
     auto answer = requests_.handle(request);
     answer.closes_ = answer.closes_ || isLeaving_;
     return answer;
 }
 
+auto FleetDaemon::terms() const -> FleetTerms
+{
+    const auto lock = absl::ReaderMutexLock(&termsMutex_);
+    return terms_;
+}
+
+auto FleetDaemon::reload(const FleetDaemonSettings &settings) -> Result<void>
+{
+    auto sameTerms = settings;
+    sameTerms.terms_ = settings_.terms_;
+    if (sameTerms != settings_) {
+        return makeError("reload settings", settings.name_, "names, addresses, zones and limits change by a restart only");
+    }
+    const auto lock = absl::MutexLock(&termsMutex_);
+    terms_ = settings.terms_;
+    return {};
+}
+
+auto FleetDaemon::answerMetrics() const -> CallerAnswer
+{
+    const auto now = monotonicNow();
+    const auto view = state_.view();
+    const auto storeHeardAt = state_.storeHeardAt();
+    auto values = std::vector<MetricValue> {
+        { "lycheecleat_policy_version", "Version of the traffic policy in force", MetricKind::Gauge, {}, 0 },
+        { "lycheecleat_records_revision", "Revision of the store up to which records are known", MetricKind::Gauge, {}, static_cast<double>(view->asOf_) },
+        { "lycheecleat_store_age_seconds", "Time since the store last answered; -1 before it has", MetricKind::Gauge, {}, -1 },
+        { "lycheecleat_requests_in_flight", "Requests being served", MetricKind::Gauge, {}, static_cast<double>(requests_.inFlight()) },
+        { "lycheecleat_hosts_ready",
+          "Entry hosts that lookups may name",
+          MetricKind::Gauge,
+          {},
+          static_cast<double>(gossip_->readyHosts(now).size()) },
+        { "lycheecleat_share_holders",
+          "Entry hosts among which quotas are split",
+          MetricKind::Gauge,
+          {},
+          static_cast<double>(gossip_->shareHolders(now).size()) },
+        { "lycheecleat_process_cpu_seconds_total", "Processor time of the process", MetricKind::Counter, {}, processTimeSeconds() },
+    };
+    values[0].value_ = view->policy_ ? static_cast<double>(view->policy_->policy().version_) : 0;
+    if (storeHeardAt != absl::InfinitePast()) {
+        values[2].value_ = absl::ToDoubleSeconds(now - storeHeardAt);
+    }
+    for (const auto &[service, backends] : view->backends_) {
+        values.push_back({ "lycheecleat_backends", "Backend servers that take requests", MetricKind::Gauge, { { "service", service } }, static_cast<double>(backends.size()) });
+    }
+    return { { okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text(values) }, false, false };
+}
+
 auto FleetDaemon::answerReady() const -> CallerAnswer
 {
     return plainAnswer(isReady() ? okStatus : unavailableStatus);
@@ -232,7 +305,7 @@
         return plainAnswer(unavailableStatus);
     }
     addresses.resize(std::min(addresses.size(), maximumLookupAddresses));
-    return { adapter_.protocol_.encodeLookup_({ std::move(addresses), std::min(lookupLifetime, settings_.terms_.maximumLookupLifetime_) }), false, false };
+    return { adapter_.protocol_.encodeLookup_({ std::move(addresses), std::min(lookupLifetime, terms().maximumLookupLifetime_) }), false, false };
 }
 
 }
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -5,6 +5,7 @@
 #include "process/fleetstate.h"
 #include "process/fleetterms.h"
 #include "process/hostgossip.h"
+#include "process/metrics.h"
 #include "process/peerserver.h"
 #include "process/recordfollower.h"
 #include "process/recordstore.h"
@@ -38,6 +39,8 @@
     /** Addresses for Thrift calls and for heartbeats of hosts that may know others. */
     std::vector<std::string> peerSeeds_;
     std::vector<std::string> gossipSeeds_;
+    /** Address for metrics; empty when they are not served. */
+    std::string metricsAddress_;
     FleetTerms terms_;
     /** Requests served at once. */
     int maximumRequests_ = 256;
@@ -66,11 +69,18 @@
     /** Starts all parts. Errors: an address cannot be used. */
     [[nodiscard]] auto start() -> Result<void>;
 
+    /**
+     * Takes over changed terms. Errors: something else has changed, which only a restart can take over; nothing changes then.
+     */
+    [[nodiscard]] auto reload(const FleetDaemonSettings &settings) -> Result<void>;
+
     /** Leaves: peers and lookups stop naming this host, requests that come are served for a while, those in flight end. Blocks until then. */
     auto stop() -> void;
 
 private:
     auto answer(const ReceivedRequest &request) -> CallerAnswer;
+    auto terms() const -> FleetTerms;
+    auto answerMetrics() const -> CallerAnswer;
     auto answerReady() const -> CallerAnswer;
     auto answerLookup(const ReceivedRequest &request) -> CallerAnswer;
     auto isReady() const -> bool;
@@ -78,6 +88,9 @@
     auto callerTimes() const -> CallerTimes;
 
     const FleetDaemonSettings settings_;
+    mutable absl::Mutex termsMutex_;
+    FleetTerms terms_ ABSL_GUARDED_BY(termsMutex_);
+    Metrics metrics_;
     const FleetAdapter adapter_;
     const fleet::HostIdentity identity_;
     std::atomic<bool> isLeaving_ = false;
--- a/libraries/process/metrics.cpp
+++ b/libraries/process/metrics.cpp
@@ -28,6 +28,17 @@
     return prometheus::BuildCounter().Name("lycheecleat_requests_refused_total").Help("Requests refused, by reason and organisation").Register(registry);
 }
 
+auto makeAnswers(prometheus::Registry &registry) -> prometheus::Family<prometheus::Counter> &
+{
+    return prometheus::BuildCounter().Name("lycheecleat_answers_total").Help("Answers, by route and status; status 0 when the caller had left").Register(registry);
+}
+
+auto makeResends(prometheus::Registry &registry) -> prometheus::Counter &
+{
+    auto &family = prometheus::BuildCounter().Name("lycheecleat_resends_total").Help("Sends to a further backend server").Register(registry);
+    return family.Add({});
+}
+
 auto metricOf(const MetricValue &value) -> prometheus::ClientMetric
 {
     auto metric = prometheus::ClientMetric {};
@@ -56,12 +67,20 @@
 Metrics::Metrics()
     : duration_(makeDuration(registry_))
     , refusals_(makeRefusals(registry_))
+    , answers_(makeAnswers(registry_))
+    , resends_(makeResends(registry_))
 {
 }
 
 auto Metrics::observe(const RequestObservation &observation) -> void
 {
     duration_.Observe(absl::ToDoubleSeconds(observation.duration_));
+    if (!observation.route_.empty()) {
+        answers_.Add({ { "route", observation.route_ }, { "status", std::to_string(observation.status_) } }).Increment();
+    }
+    if (observation.attempts_ > 1) {
+        resends_.Increment(observation.attempts_ - 1);
+    }
     if (!observation.refusalReason_.empty()) {
         refusals_.Add({ { "reason", observation.refusalReason_ }, { "organisation", observation.organisation_ } }).Increment();
     }
--- a/libraries/process/metrics.h
+++ b/libraries/process/metrics.h
@@ -47,6 +47,8 @@
     prometheus::Registry registry_;
     prometheus::Histogram &duration_;
     prometheus::Family<prometheus::Counter> &refusals_;
+    prometheus::Family<prometheus::Counter> &answers_;
+    prometheus::Counter &resends_;
 };
 
 }
--- a/libraries/process/quotakeeper.cpp
+++ b/libraries/process/quotakeeper.cpp
@@ -6,23 +6,22 @@
 namespace lycheecleat
 {
 
-QuotaKeeper::QuotaKeeper(QuotaTerms terms, const std::string &hostName, absl::Time startedAt)
-    : terms_(terms)
-    , self_(static_cast<std::uint32_t>(hostHash(hostName)))
+QuotaKeeper::QuotaKeeper(const std::string &hostName, absl::Time startedAt)
+    : self_(static_cast<std::uint32_t>(hostHash(hostName)))
     , startedAt_(startedAt)
 {
 }
 
-auto QuotaKeeper::admitRequest(absl::Time now, const Organisation &limits, const std::vector<std::uint64_t> &hosts) -> bool
+auto QuotaKeeper::admitRequest(absl::Time now, const Organisation &limits, const QuotaTerms &terms, const std::vector<std::uint64_t> &hosts) -> bool
 {
     if (limits.rate_ <= 0) {
         return true;
     }
     const auto organisation = stableHash(limits.name_);
-    const auto share = hostQuota(fleetQuota(limits, terms_), hosts, self_, organisation);
+    const auto share = hostQuota(fleetQuota(limits, terms), hosts, self_, organisation);
     auto &shard = shards_[organisation % shardCount];
     const auto lock = absl::MutexLock(&shard.mutex_);
-    return admit(shard.quotas_[limits.name_], now, startedAt_, share, terms_.window_);
+    return admit(shard.quotas_[limits.name_], now, startedAt_, share, terms.window_);
 }
 
 }
--- a/libraries/process/quotakeeper.h
+++ b/libraries/process/quotakeeper.h
@@ -20,11 +20,11 @@
 class QuotaKeeper
 {
 public:
-    /** How limits are counted, this host's name, and the time at which the process started. */
-    QuotaKeeper(QuotaTerms terms, const std::string &hostName, absl::Time startedAt);
+    /** This host's name, and the time at which the process started. */
+    QuotaKeeper(const std::string &hostName, absl::Time startedAt);
 
-    /** Admits a request of an organisation, given the hosts among which its limit is split. */
-    [[nodiscard]] auto admitRequest(absl::Time now, const Organisation &limits, const std::vector<std::uint64_t> &hosts) -> bool;
+    /** Admits a request of an organisation, given how its limit is counted and the hosts among which it is split. */
+    [[nodiscard]] auto admitRequest(absl::Time now, const Organisation &limits, const QuotaTerms &terms, const std::vector<std::uint64_t> &hosts) -> bool;
 
 private:
     struct Shard
@@ -34,7 +34,6 @@
     };
     static constexpr auto shardCount = std::size_t { 8 };
 
-    const QuotaTerms terms_;
     const std::uint64_t self_;
     const absl::Time startedAt_;
     std::array<Shard, shardCount> shards_;
--- a/libraries/process/retrykeeper.cpp
+++ b/libraries/process/retrykeeper.cpp
@@ -3,34 +3,23 @@
 namespace lycheecleat
 {
 
-RetryKeeper::RetryKeeper(double share, double maximumSaved)
-    : initial_ { maximumSaved, share, maximumSaved }
-{
-}
-
-auto RetryKeeper::countRequest(const std::string &service) -> void
+auto RetryKeeper::countRequest(const std::string &service, const RetryBudget &initial) -> void
 {
     const auto lock = absl::MutexLock(&mutex_);
-    auto &budget = budgets_.try_emplace(service, initial_).first->second;
-    budget = withRequest(budget);
+    auto &budget = budgets_.try_emplace(service, initial).first->second;
+    // The terms may have changed since the budget was made.
+    budget = withRequest({ budget.saved_, initial.share_, initial.maximumSaved_ });
 }
 
 auto RetryKeeper::takeRetry(const std::string &service) -> bool
 {
     const auto lock = absl::MutexLock(&mutex_);
-    auto &budget = budgets_.try_emplace(service, initial_).first->second;
-    if (!mayRetry(budget)) {
+    const auto found = budgets_.find(service);
+    if (found == budgets_.end() || !mayRetry(found->second)) {
         return false;
     }
-    budget = withRetry(budget);
+    found->second = withRetry(found->second);
     return true;
 }
 
-auto RetryKeeper::savedRetries(const std::string &service) const -> double
-{
-    const auto lock = absl::ReaderMutexLock(&mutex_);
-    const auto found = budgets_.find(service);
-    return found == budgets_.end() ? initial_.saved_ : found->second.saved_;
-}
-
 }
--- a/libraries/process/retrykeeper.h
+++ b/libraries/process/retrykeeper.h
@@ -16,21 +16,14 @@
 class RetryKeeper
 {
 public:
-    /** Retries for each request, and how many may be saved up on this host. */
-    RetryKeeper(double share, double maximumSaved);
+    /** Counts a request for a service, given the budget that a service starts with. */
+    auto countRequest(const std::string &service, const RetryBudget &initial) -> void;
 
-    /** Counts a request for a service. */
-    auto countRequest(const std::string &service) -> void;
-
-    /** Takes one retry; false when none is left. */
+    /** Takes one retry of a service that has been counted; false when none is left. */
     [[nodiscard]] auto takeRetry(const std::string &service) -> bool;
 
-    /** Retries saved up, for metrics. */
-    [[nodiscard]] auto savedRetries(const std::string &service) const -> double;
-
 private:
-    const RetryBudget initial_;
-    mutable absl::Mutex mutex_;
+    absl::Mutex mutex_;
     absl::flat_hash_map<std::string, RetryBudget> budgets_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/libraries/process/steeringhandler.cpp
+++ b/libraries/process/steeringhandler.cpp
@@ -58,9 +58,10 @@
     return settings;
 }
 
-auto retryExtraShare(const FleetTerms &terms) -> double
+auto retryBudgetOf(const FleetTerms &terms) -> RetryBudget
 {
-    return std::max(1.0, terms.retryExtra_ * usedRetryPart / retryExtraHosts);
+    const auto saved = std::max(1.0, terms.retryExtra_ * usedRetryPart / retryExtraHosts);
+    return { saved, terms.retryShare_ * usedRetryPart, saved };
 }
 
 /** Time after which a refused caller should come back, in seconds. */
@@ -117,6 +118,7 @@
     std::string service_ = {};
     std::uint64_t object_ = 0;
     BackendChoice choice_ = {};
+    absl::Time sentAt_ = absl::InfinitePast();
     std::vector<std::string> tried_ = {};
     std::vector<std::string> crashed_ = {};
     /** Backend servers to which the request was sent. */
@@ -143,8 +145,7 @@
 SteeringHandler::SteeringHandler(SteeringServices services)
     : services_(std::move(services))
     , pool_(poolSettings(services_.protocol_))
-    , quotas_(services_.terms_.quota_, services_.hostName_, monotonicNow())
-    , retries_(services_.terms_.retryShare_ * usedRetryPart, retryExtraShare(services_.terms_))
+    , quotas_(services_.hostName_, monotonicNow())
     , crashes_(maximumCrashRecords)
 {
 }
@@ -210,7 +211,7 @@
         }
     }
     const auto now = monotonicNow();
-    if (run.organisation_ != nullptr && !quotas_.admitRequest(now, run.organisation_->limits_, services_.shareHolders_(now))) {
+    if (run.organisation_ != nullptr && !quotas_.admitRequest(now, run.organisation_->limits_, services_.terms_().quota_, services_.shareHolders_(now))) {
         return Refusal::RateExceeded;
     }
     return std::nullopt;
@@ -246,7 +247,7 @@
     const auto &basis = object.empty() ? run.id_ : object;
     run.service_ = chooseDestination(run.route_->destinations_, objectHash("", run.route_->name_, basis)).service_;
     run.object_ = objectHash(run.service_, run.route_->name_, basis);
-    retries_.countRequest(run.service_);
+    retries_.countRequest(run.service_, retryBudgetOf(services_.terms_()));
 }
 
 auto SteeringHandler::allowedRegions(const Run &run, const std::string &region) const -> bool
@@ -254,6 +255,12 @@
     return allows(run.route_->homeRegions_, region) && (run.organisation_ == nullptr || allows(run.organisation_->homeRegions_, region));
 }
 
+// An organisation's priority takes precedence over the route's.
+auto SteeringHandler::priorityOf(const Run &run) -> int
+{
+    return run.organisation_ == nullptr ? run.route_->priority_ : run.organisation_->priority_.value_or(run.route_->priority_);
+}
+
 auto SteeringHandler::candidates(const Run &run, const FleetView &view) const -> std::vector<WeightedBackend>
 {
     auto found = std::vector<WeightedBackend> {};
@@ -279,11 +286,13 @@
     const auto ranked = rankBackends(run.object_, candidates(run, *run.view_));
     const auto *service = run.policy_->findService(run.service_);
     const auto cold = [&](const FleetBackend &backend) {
-        const auto tolerated = service == nullptr ? 1.0 : service->coldRequestsPerSecond_ * services_.terms_.coldOverage_ + services_.terms_.coldSlack_;
+        const auto terms = services_.terms_();
+        const auto tolerated = service == nullptr ? 1.0 : service->coldRequestsPerSecond_ * terms.coldOverage_ + terms.coldSlack_;
         const auto self = static_cast<std::uint64_t>(static_cast<std::uint32_t>(hostHash(services_.hostName_)));
         return coldAllowance(tolerated * usedColdPart, services_.shareHolders_(now), self, backend.hash_);
     };
-    run.choice_ = conditions_.choose(now, ranked, run.tried_, cold);
+    const auto elapsed = now - run.received_.receivedAt_;
+    run.choice_ = conditions_.choose(now, { ranked, run.tried_, longestUsefulWait(run.route_->latencyObjective_, priorityOf(run)) - elapsed }, cold);
     return run.choice_.backend_ != nullptr;
 }
 
@@ -316,6 +325,7 @@
     call.expectedInstance_ = server.name_;
     call.requestId_ = run.id_;
     run.tried_.push_back(server.name_);
+    run.sentAt_ = monotonicNow();
     return pool_.exchange(call, run.content_);
 }
 
@@ -326,7 +336,7 @@
     const auto &backend = *run.choice_.backend_;
     run.detail_ = exchange.detail_;
     if (exchange.status_ == ExchangeStatus::NotSent) {
-        conditions_.end(now, backend, BackendSign::Unreachable, std::nullopt);
+        conditions_.end(now, backend, { BackendSign::Unreachable });
         run.unreachable_ += 1;
         run.refusal_ = run.mayHaveRun_ ? run.refusal_ : Refusal::BackendUnreachable;
         return run.unreachable_ >= maximumUnreachable;
@@ -342,7 +352,7 @@
         return true;
     }
     const auto isSilent = exchange.status_ == ExchangeStatus::TimedOut || exchange.status_ == ExchangeStatus::Silent;
-    conditions_.end(now, backend, isSilent ? BackendSign::Silent : BackendSign::Broken, std::nullopt);
+    conditions_.end(now, backend, { isSilent ? BackendSign::Silent : BackendSign::Broken });
     if (isSilent) {
         // What made this connection silent may have done the same to the idle ones.
         pool_.closeIdle(backend.registration_.server_.address_);
@@ -360,14 +370,14 @@
     const auto load = parseLoad(answer, services_.protocol_.load_);
     const auto isNotRun = answer.status_ == misdirectedStatus || headerCount(answer.headers_, services_.protocol_.notRun_) > 0;
     if (isNotRun) {
-        conditions_.end(now, backend, answer.status_ == misdirectedStatus ? BackendSign::Unreachable : BackendSign::Full, load);
+        conditions_.end(now, backend, { answer.status_ == misdirectedStatus ? BackendSign::Unreachable : BackendSign::Full, load });
         run.detail_ = fmt::format("not run by the backend server, status {}", answer.status_);
         run.refusal_ = run.mayHaveRun_ ? run.refusal_ : Refusal::NoCapacity;
         return !maySendAgain(run);
     }
     run.mayHaveRun_ = true;
     const auto isFailure = answer.status_ >= firstServerError;
-    conditions_.end(now, backend, isFailure ? BackendSign::Failed : BackendSign::Answered, load);
+    conditions_.end(now, backend, { isFailure ? BackendSign::Failed : BackendSign::Answered, load, now - run.sentAt_ });
     run.answer_ = std::move(answer);
     return !isFailure || run.route_->repeatability_ != Repeatability::Repeatable || !maySendAgain(run);
 }
@@ -443,6 +453,7 @@
         { "backend", backend == nullptr ? "" : backend->registration_.server_.name_ },
         { "choice", backend == nullptr ? "" : std::string(choiceReasonName(run.choice_.reason_)) },
         { "rank", fmt::format("{}", run.choice_.rank_) },
+        { "expected_wait_ms", fmt::format("{:.0f}", absl::ToDoubleMilliseconds(run.choice_.wait_)) },
         { "attempts", fmt::format("{}", run.attempts_) },
         { "version", run.policy_ ? fmt::format("{}", run.policy_->policy().version_) : "" },
         { "revision", fmt::format("{}", run.view_->asOf_) },
@@ -456,12 +467,12 @@
     }
     logLine(wallNow(), reason.empty() ? LogLevel::Info : LogLevel::Warning, "request", fields);
     if (services_.observe_) {
-        services_.observe_({ run.route_ == nullptr ? std::string {} : run.route_->name_,
-                             run.organisation_ == nullptr ? std::string {} : run.organisation_->limits_.name_,
-                             status,
+        services_.observe_({ run.organisation_ == nullptr ? std::string {} : run.organisation_->limits_.name_,
                              std::string(reason),
-                             run.attempts_,
-                             duration });
+                             duration,
+                             run.route_ == nullptr ? std::string {} : run.route_->name_,
+                             status,
+                             run.attempts_ });
     }
 }
 
--- a/libraries/process/steeringhandler.h
+++ b/libraries/process/steeringhandler.h
@@ -6,8 +6,9 @@
 #include "process/callerserver.h"
 #include "process/fleetstate.h"
 #include "process/fleetterms.h"
-#include "process/hostgossip.h"
+#include "process/hosttable.h"
 #include "process/quotakeeper.h"
+#include "process/requestobservation.h"
 #include "process/retrykeeper.h"
 #include "request/backendranking.h"
 #include "request/callerprotocol.h"
@@ -28,18 +29,6 @@
 namespace lycheecleat
 {
 
-/** What became of one request, for metrics. */
-struct SteeredRequest
-{
-    std::string route_;
-    std::string organisation_;
-    int status_ = 0;
-    /** Empty when a backend server answered. */
-    std::string reason_;
-    int attempts_ = 0;
-    absl::Duration duration_;
-};
-
 /** The parts of the process that requests need; all outlive the handler. */
 struct SteeringServices
 {
@@ -47,12 +36,13 @@
     std::string zone_;
     ZoneRegions zones_;
     CallerProtocol protocol_;
-    FleetTerms terms_;
+    /** The terms in force, which a change of the settings may replace. */
+    std::function<FleetTerms()> terms_;
     FleetState *state_ = nullptr;
     /** Hashes of the hosts among which shares are split. */
     std::function<std::vector<std::uint64_t>(absl::Time)> shareHolders_;
     std::function<bool()> isStopping_;
-    std::function<void(const SteeredRequest &)> observe_;
+    std::function<void(const RequestObservation &)> observe_;
 };
 
 /** Handles requests: route, organisation, quota, choice of backend server, sending, and the answer. Thread-safe. */
@@ -92,6 +82,7 @@
     auto finish(Run &run) -> CallerAnswer;
     auto log(const Run &run, int status, std::string_view reason) -> void;
     auto candidates(const Run &run, const FleetView &view) const -> std::vector<WeightedBackend>;
+    static auto priorityOf(const Run &run) -> int;
     auto allowedRegions(const Run &run, const std::string &region) const -> bool;
     auto ownRegion() const -> std::string;
 
--- a/libraries/process/steeringhandlertest.cpp
+++ b/libraries/process/steeringhandlertest.cpp
@@ -109,7 +109,7 @@
         route.prefix_ = "/unsafe/";
         route.repeatability_ = Repeatability::AtMostOnce;
         policy_.routes_.push_back(route);
-        policy_.organisations_ = { { { "org", 1000, 1000, 1 }, { key }, 0, {} } };
+        policy_.organisations_ = { { { "org", 1000, 1000, 1 }, { key }, {}, {} } };
         zones_ = { { "zone-a", "east" }, { "zone-b", "west" } };
         state_ = std::make_unique<FleetState>(zones_, "zone-a", decoders);
     }
@@ -138,7 +138,11 @@
             services.isStopping_ = [] {
                 return false;
             };
-            services.terms_.quota_.window_ = absl::Milliseconds(1);
+            services.terms_ = [] {
+                auto terms = FleetTerms {};
+                terms.quota_.window_ = absl::Milliseconds(1);
+                return terms;
+            };
             handler_ = std::make_unique<SteeringHandler>(services);
         }
         auto content = RequestContent { method, target, { { "Host", "h.example" }, { "X-Request-Id", "id-1" }, { "X-Organisation", "forged" } }, "" };
--- a/libraries/request/backendcondition.cpp
+++ b/libraries/request/backendcondition.cpp
@@ -1,6 +1,7 @@
 #include "request/backendcondition.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace lycheecleat
@@ -18,11 +19,20 @@
 /** Average share of failures from which a backend server is ejected although it answers in between. */
 constexpr auto ejectedFailureShare = 0.45;
 
+/** Weight of the newest exchange in the moving average of service times. */
+constexpr auto durationWeight = 0.2;
+
+/** Time over which a reported queue is taken to shrink to nothing without further reports. */
+constexpr auto queueMemory = absl::Milliseconds(1500);
+
+/** Parts of the latency objective that requests of priority 0, 1 and further may wait. */
+constexpr auto usefulWaitParts = std::array { 0.9, 0.6, 0.4 };
+
 /** Broken or silent exchanges in a row that eject; a single one happens on a sound server as well. */
 constexpr auto ejectedFailures = 2;
 
-/** A load report older than this says nothing any more. */
-constexpr auto loadReportTime = absl::Milliseconds(700);
+/** A backend server with a shorter expected wait does not count as full: another one would have to load the object first. */
+constexpr auto shortestWait = absl::Milliseconds(400);
 
 /** How long a backend server that rejected a request counts as full. */
 constexpr auto fullTime = absl::Milliseconds(250);
@@ -48,6 +58,14 @@
     }
 }
 
+// The reported queue tells how much of the duration was spent waiting.
+auto noteDuration(BackendCondition &condition, absl::Duration duration) -> void
+{
+    const auto queue = static_cast<double>(condition.load_.waiting_) / std::max(1, condition.load_.slots_);
+    const auto worked = duration / (1 + queue);
+    condition.serviceTime_ += (worked - condition.serviceTime_) * (condition.serviceTime_ == absl::ZeroDuration() ? 1.0 : durationWeight);
+}
+
 auto recentColdSends(const BackendCondition &condition, absl::Time now) -> int
 {
     return static_cast<int>(std::count_if(condition.coldSends_.begin(), condition.coldSends_.end(), [&](absl::Time sentAt) {
@@ -57,14 +75,15 @@
 
 }
 
-auto noteSign(BackendCondition &condition, absl::Time now, BackendSign sign, const std::optional<LoadReport> &load) -> void
+auto noteExchange(BackendCondition &condition, absl::Time now, const ExchangeReport &report) -> void
 {
-    if (load) {
-        condition.load_ = *load;
+    if (report.load_) {
+        condition.load_ = *report.load_;
         condition.loadAt_ = now;
     }
-    switch (sign) {
+    switch (report.sign_) {
     case BackendSign::Answered:
+        noteDuration(condition, report.duration_);
         condition.failureShare_ -= failureWeight * condition.failureShare_;
         condition.consecutiveFailures_ = 0;
         if (condition.failureShare_ < ejectedFailureShare) {
@@ -96,7 +115,23 @@
     if (now < condition.fullUntil_) {
         return true;
     }
-    return now - condition.loadAt_ < loadReportTime && condition.load_.running_ >= condition.load_.slots_ && condition.load_.waiting_ > 0;
+    return expectedWait(condition, now) > shortestWait;
+}
+
+auto expectedWait(const BackendCondition &condition, absl::Time now) -> absl::Duration
+{
+    const auto age = now - condition.loadAt_;
+    if (age >= queueMemory || condition.load_.slots_ <= 0) {
+        return absl::ZeroDuration();
+    }
+    const auto waiting = condition.load_.waiting_ * (1 - absl::FDivDuration(age, queueMemory));
+    return condition.serviceTime_ * (waiting / condition.load_.slots_);
+}
+
+auto longestUsefulWait(absl::Duration latencyObjective, int priority) -> absl::Duration
+{
+    const auto last = static_cast<int>(usefulWaitParts.size()) - 1;
+    return latencyObjective * usefulWaitParts[static_cast<std::size_t>(std::clamp(priority, 0, last))];
 }
 
 auto coldAllowance(double requestsPerSecond, const std::vector<std::uint64_t> &hosts, std::uint64_t self, std::uint64_t backend) -> ColdAllowance
--- a/libraries/request/backendcondition.h
+++ b/libraries/request/backendcondition.h
@@ -43,6 +43,8 @@
     /** Start of the process that the condition is about. */
     std::int64_t incarnation_ = 0;
     int inFlight_ = 0;
+    /** Moving average of the time for which the backend server works on a request, without its wait. */
+    absl::Duration serviceTime_;
     LoadReport load_;
     absl::Time loadAt_ = absl::InfinitePast();
     /** Moving average of failed exchanges, 0 to 1. */
@@ -55,8 +57,18 @@
     std::deque<absl::Time> coldSends_;
 };
 
+/** How an exchange ended. */
+struct ExchangeReport
+{
+    BackendSign sign_ = BackendSign::Answered;
+    /** The load that the backend server reported with its answer. */
+    std::optional<LoadReport> load_ = std::nullopt;
+    /** From sending the request to the answer. */
+    absl::Duration duration_ = absl::ZeroDuration();
+};
+
 /** The condition after an exchange. */
-auto noteSign(BackendCondition &condition, absl::Time now, BackendSign sign, const std::optional<LoadReport> &load) -> void;
+auto noteExchange(BackendCondition &condition, absl::Time now, const ExchangeReport &report) -> void;
 
 /** Whether the backend server is left out because of its failures. */
 [[nodiscard]] auto isEjected(const BackendCondition &condition, absl::Time now) -> bool;
@@ -64,6 +76,15 @@
 /** Whether a request would have to wait at the backend server. */
 [[nodiscard]] auto isFull(const BackendCondition &condition, absl::Time now) -> bool;
 
+/** How long a request would wait at the backend server before it runs, from its last report, which counts for less as it grows older. */
+[[nodiscard]] auto expectedWait(const BackendCondition &condition, absl::Time now) -> absl::Duration;
+
+/**
+ * Longest expected wait with which a request is still sent: a part of its latency objective that is larger for more urgent requests, so that these
+ * find room where others are refused. Requests that would be late anyway only make further requests late.
+ */
+[[nodiscard]] auto longestUsefulWait(absl::Duration latencyObjective, int priority) -> absl::Duration;
+
 /** How many requests a second one host may send to a cold backend server, and whether it is among the hosts that may. */
 struct ColdAllowance
 {
--- a/libraries/request/backendconditiontest.cpp
+++ b/libraries/request/backendconditiontest.cpp
@@ -42,7 +42,7 @@
         CAPTURE(signCase.title_);
         auto condition = BackendCondition {};
         for (const auto sign : signCase.signs_) {
-            noteSign(condition, start, sign, std::nullopt);
+            noteExchange(condition, start, { sign });
         }
         CHECK(isEjected(condition, start) == signCase.isEjected_);
         CHECK(isFull(condition, start) == signCase.isFull_);
@@ -55,10 +55,10 @@
 TEST_CASE("a load report makes a backend server full for a short time")
 {
     auto condition = BackendCondition {};
-    noteSign(condition, start, BackendSign::Answered, LoadReport { 3, 1, 3 });
+    noteExchange(condition, start, { BackendSign::Answered, LoadReport { 3, 1, 3 } });
     CHECK(isFull(condition, start + absl::Milliseconds(100)));
     CHECK_FALSE(isFull(condition, start + absl::Seconds(5)));
-    noteSign(condition, start, BackendSign::Answered, LoadReport { 3, 0, 3 });
+    noteExchange(condition, start, { BackendSign::Answered, LoadReport { 3, 0, 3 } });
     CHECK_FALSE(isFull(condition, start));
 }
 
--- a/libraries/version/policyindextest.cpp
+++ b/libraries/version/policyindextest.cpp
@@ -50,7 +50,7 @@
 TEST_CASE("a key belongs to the organisation that lists it")
 {
     auto policy = TrafficPolicy {};
-    policy.organisations_ = { { { "first", 1, 1, 1 }, { "k1", "k2" }, 0, {} }, { { "second", 1, 1, 1 }, { "k3" }, 0, {} } };
+    policy.organisations_ = { { { "first", 1, 1, 1 }, { "k1", "k2" }, {}, {} }, { { "second", 1, 1, 1 }, { "k3" }, {}, {} } };
     const auto index = PolicyIndex(policy);
     REQUIRE(index.findByKey("k2") != nullptr);
     CHECK(index.findByKey("k2")->limits_.name_ == "first");
--- a/libraries/version/trafficpolicy.h
+++ b/libraries/version/trafficpolicy.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,7 +80,8 @@
     /** Name, rate and burst; a rate of 0 is no limit. */
     Organisation limits_;
     std::vector<std::string> keys_;
-    int priority_ = 0;
+    /** Takes precedence over the priorities of routes; absent when the organisation has none. */
+    std::optional<int> priority_;
     /** Regions that may handle the organisation's requests; empty allows all. */
     std::vector<std::string> homeRegions_;
 
--- a/services/lycheecleatd/main.cpp
+++ b/services/lycheecleatd/main.cpp
@@ -33,6 +33,9 @@
 constexpr auto exitFailure = 1;
 constexpr auto exitWrongSettings = 2;
 
+/** Time between two looks whether the settings file has changed without a signal. */
+constexpr auto settingsPollSeconds = 5;
+
 /** Time between two looks whether the daemon could not start. */
 constexpr auto failurePollNanoseconds = 100'000'000;
 
@@ -43,6 +46,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -53,7 +57,10 @@
 {
     while (!daemon.hasFailed()) {
         const auto timeout = timespec { 0, failurePollNanoseconds };
-        if (sigtimedwait(&signals, nullptr, &timeout) > 0) {
+        const auto signal = sigtimedwait(&signals, nullptr, &timeout);
+        if (signal == SIGHUP) {
+            logLine(wallNow(), LogLevel::Warning, "settings_kept", { { "reason", "these settings change by a restart only" } });
+        } else if (signal > 0) {
             return true;
         }
     }
@@ -65,6 +72,47 @@
     logLine(wallNow(), LogLevel::Error, "start_failed", { { "error", describe(error) } });
 }
 
+/** Takes over changed settings, or keeps the old ones and logs why. */
+auto reload(FleetDaemon &daemon, platform::NodeSettings &current) -> void
+{
+    const auto reloaded = attempt([&]() -> Result<platform::NodeSettings> {
+        BOOST_LEAF_AUTO(next, platform::readNodeSettings());
+        if (next == current) {
+            return next;
+        }
+        if (next.storeAddress_ != current.storeAddress_) {
+            return makeError("reload settings", next.storeAddress_, "the store's address changes by a restart only");
+        }
+        BOOST_LEAF_CHECK(daemon.reload(next.daemon_));
+        return next;
+    });
+    if (const auto *error = std::get_if<Error>(&reloaded)) {
+        logLine(wallNow(), LogLevel::Error, "settings_kept", { { "reason", describe(*error) } });
+        return;
+    }
+    const auto &next = std::get<platform::NodeSettings>(reloaded);
+    logLine(wallNow(), LogLevel::Info, "settings_reloaded", { { "changed", next == current ? "false" : "true" } });
+    current = next;
+}
+
+/** Serves until a stop signal comes. The settings are read again on SIGHUP, and when the file has changed. */
+auto serveUntilStopped(FleetDaemon &daemon, platform::NodeSettings settings, const sigset_t &signals) -> void
+{
+    auto changedAt = platform::settingsChangedAt();
+    while (true) {
+        const auto timeout = timespec { settingsPollSeconds, 0 };
+        const auto signal = sigtimedwait(&signals, nullptr, &timeout);
+        if (signal == SIGTERM || signal == SIGINT) {
+            return;
+        }
+        const auto fileChangedAt = platform::settingsChangedAt();
+        if (signal == SIGHUP || fileChangedAt != changedAt) {
+            changedAt = fileChangedAt;
+            reload(daemon, settings);
+        }
+    }
+}
+
 auto runOnPlatform() -> int
 {
     auto log = LogSettings {};
@@ -88,8 +136,7 @@
         reportFailure(*error);
         std::_Exit(exitFailure);
     }
-    auto signal = 0;
-    sigwait(&signals, &signal);
+    serveUntilStopped(daemon, node, signals);
     daemon.stop();
     // Threads that wait for the store or for callers would only delay the end.
     std::_Exit(0);
