--- a/libraries/process/fleetstate.cpp
+++ b/libraries/process/fleetstate.cpp
@@ -106,6 +106,7 @@
 
 auto FleetState::takeOver(absl::Time now, const FleetRecord &record, const std::string &source) -> void
 {
+    mutex_.AssertHeld();
     switch (record.kind_) {
     case RecordKind::Policy:
         takeOverPolicy(record, source);
@@ -124,6 +125,7 @@
 
 auto FleetState::takeOverPolicy(const FleetRecord &record, const std::string &source) -> void
 {
+    mutex_.AssertHeld();
     if (record.isRemoved_) {
         logChange(LogLevel::Warning, "policy_kept", record, source, { { "reason", "the record was removed" } });
         return;
@@ -152,6 +154,7 @@
 
 auto FleetState::takeOverEvacuation(absl::Time now, const FleetRecord &record, const std::string &source) -> void
 {
+    mutex_.AssertHeld();
     logChange(LogLevel::Info, record.isRemoved_ ? "evacuation_ended" : "evacuation_begun", record, source, {});
     if (record.isRemoved_) {
         markZoneCold(now, record.name_);
@@ -161,6 +164,7 @@
 // Backend servers that had no requests for a while may have lost their caches before their registration says so.
 auto FleetState::markZoneCold(absl::Time now, const std::string &zone) -> void
 {
+    mutex_.AssertHeld();
     if (!policy_) {
         return;
     }
@@ -174,6 +178,7 @@
 
 auto FleetState::takeOverBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void
 {
+    mutex_.AssertHeld();
     if (record.isRemoved_) {
         removeBackend(now, record, source);
         return;
@@ -213,6 +218,7 @@
 
 auto FleetState::removeBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void
 {
+    mutex_.AssertHeld();
     const auto found = backends_.find(record.name_);
     if (found == backends_.end()) {
         return;
@@ -228,6 +234,7 @@
 
 auto FleetState::rebuild() -> void
 {
+    mutex_.AssertHeld();
     auto view = std::make_shared<FleetView>();
     view->asOf_ = book_.asOf();
     view->policy_ = policy_;
--- a/libraries/process/fleetstate.h
+++ b/libraries/process/fleetstate.h
@@ -52,13 +52,13 @@
         std::int64_t revision_ = 0;
     };
 
-    auto takeOver(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    auto takeOverPolicy(const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    auto takeOverBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    auto takeOverEvacuation(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    auto removeBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    auto markZoneCold(absl::Time now, const std::string &zone) -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    auto rebuild() -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto takeOver(absl::Time now, const FleetRecord &record, const std::string &source) -> void;
+    auto takeOverPolicy(const FleetRecord &record, const std::string &source) -> void;
+    auto takeOverBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void;
+    auto takeOverEvacuation(absl::Time now, const FleetRecord &record, const std::string &source) -> void;
+    auto removeBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void;
+    auto markZoneCold(absl::Time now, const std::string &zone) -> void;
+    auto rebuild() -> void;
 
     const ZoneRegions zones_;
     const std::string ownRegion_;
--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -93,20 +93,21 @@
 // Reads the registrations of new records only, since this runs for each request as well.
 auto HostGossip::learnRegistered(absl::Time now) const -> void
 {
+    mutex_.AssertHeld();
     const auto asOf = services_.state_->asOf();
     if (asOf == learnedAsOf_) {
         return;
     }
     learnedAsOf_ = asOf;
     auto registered = std::vector<fleet::HostIdentity> {};
-    for (const auto &[name, value] : services_.state_->hostRecords()) {
+    for (const auto &record : services_.state_->hostRecords()) {
         const auto decoded = attempt([&] {
-            return decodeHostRegistration(name, value);
+            return decodeHostRegistration(record.first, record.second);
         });
         if (const auto *identity = std::get_if<fleet::HostIdentity>(&decoded)) {
             registered.push_back(*identity);
         } else {
-            logLine(wallNow(), LogLevel::Warning, "host_ignored", { { "name", name }, { "reason", describe(std::get<Error>(decoded)) } });
+            logLine(wallNow(), LogLevel::Warning, "host_ignored", { { "name", record.first }, { "reason", describe(std::get<Error>(decoded)) } });
         }
     }
     table_.learn(now, registered);
--- a/libraries/process/hostgossip.h
+++ b/libraries/process/hostgossip.h
@@ -70,7 +70,7 @@
 private:
     auto run() -> void;
     auto tick(absl::Time now) -> void;
-    auto learnRegistered(absl::Time now) const -> void ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    auto learnRegistered(absl::Time now) const -> void;
     auto hear(absl::Time now, const std::string &data) -> void;
     auto chooseTargets(absl::Time now) -> std::vector<std::string>;
     auto message(absl::Time now) -> std::string;
--- a/libraries/process/hosttable.cpp
+++ b/libraries/process/hosttable.cpp
@@ -31,12 +31,12 @@
     return static_cast<std::int32_t>(stableHash(name));
 }
 
-HostTable::HostTable(fleet::HostIdentity self)
+HostTable::HostTable(const fleet::HostIdentity &self)
     : selfHash_(hostHash(self.name))
 {
     auto &own = hosts_[selfHash_];
     own.incarnation_ = self.incarnation;
-    own.identity_ = std::move(self);
+    own.identity_ = self;
 }
 
 auto HostTable::beat(absl::Time now, HostStage stage) -> void
--- a/libraries/process/hosttable.h
+++ b/libraries/process/hosttable.h
@@ -42,7 +42,7 @@
 class HostTable
 {
 public:
-    explicit HostTable(fleet::HostIdentity self);
+    explicit HostTable(const fleet::HostIdentity &self);
 
     /** This host's own heartbeat advances. */
     auto beat(absl::Time now, HostStage stage) -> void;
--- a/libraries/process/steeringhandlertest.cpp
+++ b/libraries/process/steeringhandlertest.cpp
@@ -154,12 +154,12 @@
         return handler_->handle({ content, monotonicNow(), -1, 0 }).answer_;
     }
 
-    auto requestCount(std::size_t server) const -> int
+    [[nodiscard]] auto requestCount(std::size_t server) const -> int
     {
         return servers_[server]->requestCount();
     }
 
-    auto receivedBytes(std::size_t server) const -> std::string
+    [[nodiscard]] auto receivedBytes(std::size_t server) const -> std::string
     {
         return servers_[server]->receivedBytes();
     }
--- a/libraries/request/regionflowtest.cpp
+++ b/libraries/request/regionflowtest.cpp
@@ -37,11 +37,12 @@
         CAPTURE(flowCase.title_);
         const auto flow = regionFlow(flowCase.demands_, flowCase.capacities_, flowCase.region_);
         auto sum = 0.0;
-        for (const auto &[region, part] : flow) {
+        for (const auto &part : flow) {
+            const auto &region = part.first;
             CAPTURE(region);
             REQUIRE(flowCase.expected_.count(region) == 1);
-            CHECK(part == doctest::Approx(flowCase.expected_.at(region)).epsilon(0.001));
-            sum += part;
+            CHECK(part.second == doctest::Approx(flowCase.expected_.at(region)).epsilon(0.001));
+            sum += part.second;
         }
         CHECK(sum == doctest::Approx(flowCase.expected_.empty() ? 0 : 1));
     }
