--- a/libraries/process/backendconditions.cpp
+++ b/libraries/process/backendconditions.cpp
@@ -131,16 +131,4 @@
     condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
 }
 
-auto BackendConditions::conditionOf(const std::string &name) const -> BackendCondition
-{
-    for (const auto &shard : shards_) {
-        const auto lock = absl::ReaderMutexLock(&shard.mutex_);
-        const auto found = shard.conditions_.find(name);
-        if (found != shard.conditions_.end()) {
-            return found->second;
-        }
-    }
-    return {};
-}
-
 }
--- a/libraries/process/backendconditions.h
+++ b/libraries/process/backendconditions.h
@@ -73,9 +73,6 @@
     /** The exchange ended without telling anything about the backend server. */
     auto release(const FleetBackend &backend) -> void;
 
-    /** A copy of a condition, for status answers and tests. */
-    [[nodiscard]] auto conditionOf(const std::string &name) const -> BackendCondition;
-
 private:
     struct Shard
     {
--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -227,12 +227,6 @@
     return table_.ready(now);
 }
 
-auto HostGossip::aliveHosts(absl::Time now) const -> std::vector<KnownHost>
-{
-    const auto lock = absl::MutexLock(&mutex_);
-    return table_.alive(now);
-}
-
 auto HostGossip::shareHolders(absl::Time now) const -> std::vector<std::uint64_t>
 {
     const auto lock = absl::MutexLock(&mutex_);
@@ -240,10 +234,4 @@
     return table_.shareHolders(now);
 }
 
-auto HostGossip::addressedHosts() const -> std::vector<KnownHost>
-{
-    const auto lock = absl::MutexLock(&mutex_);
-    return table_.addressed();
-}
-
 }
--- a/libraries/process/hostgossip.h
+++ b/libraries/process/hostgossip.h
@@ -62,10 +62,10 @@
     /** Tells a few peers at once, such as that this host is leaving. */
     auto announce(absl::Time now) -> void;
 
+    /** Hosts that callers may be sent to. */
     [[nodiscard]] auto readyHosts(absl::Time now) const -> std::vector<KnownHost>;
-    [[nodiscard]] auto aliveHosts(absl::Time now) const -> std::vector<KnownHost>;
+    /** Hashes of the hosts among which shares are split. */
     [[nodiscard]] auto shareHolders(absl::Time now) const -> std::vector<std::uint64_t>;
-    [[nodiscard]] auto addressedHosts() const -> std::vector<KnownHost>;
 
 private:
     auto run() -> void;
