--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -110,8 +110,6 @@
     , identity_(identityOf(settings_))
     , state_(settings_.zones_, settings_.zone_, adapter_.decoders_)
     , requests_(SteeringServices { settings_.name_,
-                                   settings_.zone_,
-                                   settings_.zones_,
                                    adapter_.protocol_,
                                    [this] {
                                        return terms();
--- a/libraries/process/steeringhandler.cpp
+++ b/libraries/process/steeringhandler.cpp
@@ -151,12 +151,6 @@
 {
 }
 
-auto SteeringHandler::ownRegion() const -> std::string
-{
-    const auto found = services_.zones_.find(services_.zone_);
-    return found == services_.zones_.end() ? std::string {} : found->second;
-}
-
 auto SteeringHandler::handle(const ReceivedRequest &request) -> CallerAnswer
 {
     inFlight_ += 1;
--- a/libraries/process/steeringhandler.h
+++ b/libraries/process/steeringhandler.h
@@ -33,8 +33,6 @@
 struct SteeringServices
 {
     std::string hostName_;
-    std::string zone_;
-    ZoneRegions zones_;
     CallerProtocol protocol_;
     /** The terms in force, which a change of the settings may replace. */
     std::function<FleetTerms()> terms_;
@@ -84,7 +82,6 @@
     auto candidates(const Run &run, const FleetView &view) const -> std::vector<WeightedBackend>;
     static auto priorityOf(const Run &run) -> int;
     auto allowedRegions(const Run &run, const std::string &region) const -> bool;
-    auto ownRegion() const -> std::string;
 
     const SteeringServices services_;
     BackendPool pool_;
--- a/libraries/process/steeringhandlertest.cpp
+++ b/libraries/process/steeringhandlertest.cpp
@@ -129,8 +129,6 @@
         if (!handler_) {
             auto services = SteeringServices {};
             services.hostName_ = "host";
-            services.zone_ = "zone-a";
-            services.zones_ = zones_;
             services.state_ = state_.get();
             services.shareHolders_ = [](absl::Time) {
                 return std::vector<std::uint64_t> {};
--- a/libraries/process/steeringlogtest.cpp
+++ b/libraries/process/steeringlogtest.cpp
@@ -124,8 +124,6 @@
             state.apply(monotonicNow(), { 5, true, { { RecordKind::Policy, "policy", 1, false, "x" }, { RecordKind::Backend, "b", 2, false, "x" } } }, "test");
             auto services = SteeringServices {};
             services.hostName_ = "host";
-            services.zone_ = "zone-a";
-            services.zones_ = { { "zone-a", "east" } };
             services.state_ = &state;
             services.terms_ = [] {
                 return FleetTerms {};
