--- a/libraries/process/steeringhandler.cpp
+++ b/libraries/process/steeringhandler.cpp
@@ -121,7 +121,6 @@
     BackendChoice choice_ = {};
     absl::Time sentAt_ = absl::InfinitePast();
     std::vector<std::string> tried_ = {};
-    std::vector<std::string> crashed_ = {};
     /** Backend servers to which the request was sent. */
     int attempts_ = 0;
     int unreachable_ = 0;
@@ -199,10 +198,8 @@
     chooseService(run);
     {
         const auto lock = absl::ReaderMutexLock(&mutex_);
-        if (!crashes_.isEmpty()) {
-            if (crashes_.isSuspect(monotonicNow(), fingerprintOf(run))) {
-                return Refusal::CrashSuspect;
-            }
+        if (!crashes_.isEmpty() && crashes_.isSuspect(monotonicNow(), fingerprintOf(run))) {
+            return Refusal::CrashSuspect;
         }
     }
     const auto now = monotonicNow();
