Let the host that heard a removal from the store say whether it lapsed

Cause: a host that the store turns away judged removals by its own contact with the store. A backend server that left without reporting that it drains was therefore kept for two more seconds by every such host, although a peer had told it of the removal within 0.9 s.

Ruled out: late knowledge (the log shows the removal 0.87 s after the store accepted it, with kept_for_reregistration) and a lapse (the store served all other hosts).

Change: a removal carries whether it lapsed, as judged by the host that heard it from the store, and peers pass that on. The test failed with the former rule in two of its four cases and passes now.

--- a/libraries/connection/fleetpeers.cpp
+++ b/libraries/connection/fleetpeers.cpp
@@ -59,6 +59,7 @@
         added.revision = record.revision_;
         added.removed = record.isRemoved_;
         added.value = record.value_;
+        added.lapsed = record.isLapsed_;
     }
     return message;
 }
@@ -67,7 +68,7 @@
 {
     auto batch = RecordBatch { message.asOf, message.full, {} };
     for (const auto &record : message.records) {
-        batch.records_.push_back({ static_cast<RecordKind>(record.kind), record.name, record.revision, record.removed, record.value });
+        batch.records_.push_back({ static_cast<RecordKind>(record.kind), record.name, record.revision, record.removed, record.value, record.lapsed });
     }
     return batch;
 }
--- a/libraries/fleet.thrift
+++ b/libraries/fleet.thrift
@@ -47,6 +47,8 @@
     3: i64 revision;
     4: bool removed;
     5: binary value;
+    /** Removed while the store was away or had just come back; the owner may live and register again. */
+    6: bool lapsed;
 }
 
 struct Records {
--- a/libraries/process/fleetstate.cpp
+++ b/libraries/process/fleetstate.cpp
@@ -91,9 +91,27 @@
 {
 }
 
-auto FleetState::apply(absl::Time now, const RecordBatch &batch, const std::string &source) -> void
+auto FleetState::applyFromStore(absl::Time now, const RecordBatch &batch) -> void
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    const auto mayHaveLapsed = !isStoreReachable_ || now - storeRecoveredAt_ < reregistrationTime;
+    auto judged = batch;
+    judged.hasLapses_ = mayHaveLapsed;
+    for (auto &record : judged.records_) {
+        record.isLapsed_ = record.isRemoved_ && mayHaveLapsed;
+    }
+    apply(now, judged, "store");
+}
+
+auto FleetState::applyFromPeer(absl::Time now, const RecordBatch &batch, const std::string &peerAddress) -> void
 {
     const auto lock = absl::MutexLock(&mutex_);
+    apply(now, batch, "peer " + peerAddress);
+}
+
+auto FleetState::apply(absl::Time now, const RecordBatch &batch, const std::string &source) -> void
+{
+    mutex_.AssertHeld();
     const auto asOfBefore = book_.asOf();
     const auto changes = book_.apply(now, batch);
     for (const auto &record : changes) {
@@ -223,7 +241,7 @@
     if (found == backends_.end()) {
         return;
     }
-    const auto isLapse = (!isStoreReachable_ || now - storeRecoveredAt_ < reregistrationTime) && !found->second.backend_.registration_.isDraining_;
+    const auto isLapse = record.isLapsed_ && !found->second.backend_.registration_.isDraining_;
     logChange(LogLevel::Info, "backend_removed", record, source, { { "kept_for_reregistration", isLapse ? "true" : "false" } });
     if (isLapse) {
         found->second.backend_.usableUntil_ = now + reregistrationTime;
--- a/libraries/process/fleetstate.h
+++ b/libraries/process/fleetstate.h
@@ -23,8 +23,14 @@
 public:
     FleetState(ZoneRegions zones, const std::string &ownZone, RecordDecoders decoders);
 
-    /** Takes over changes and logs what they change; the source names where they come from in the log. */
-    auto apply(absl::Time now, const RecordBatch &batch, const std::string &source) -> void;
+    /** Takes over changes that the store told, and logs what they change. */
+    auto applyFromStore(absl::Time now, const RecordBatch &batch) -> void;
+
+    /**
+     * Takes over changes that another host told, and logs what they change. Whether a removal is a lapse is what the host says that heard it from the
+     * store: this host's own contact with the store tells nothing about it.
+     */
+    auto applyFromPeer(absl::Time now, const RecordBatch &batch, const std::string &peerAddress) -> void;
 
     /** The newest view. */
     [[nodiscard]] auto view() const -> FleetViewPointer;
@@ -52,6 +58,7 @@
         std::int64_t revision_ = 0;
     };
 
+    auto apply(absl::Time now, const RecordBatch &batch, const std::string &source) -> void;
     auto takeOver(absl::Time now, const FleetRecord &record, const std::string &source) -> void;
     auto takeOverPolicy(const FleetRecord &record, const std::string &source) -> void;
     auto takeOverBackend(absl::Time now, const FleetRecord &record, const std::string &source) -> void;
--- a/libraries/process/fleetstatetest.cpp
+++ b/libraries/process/fleetstatetest.cpp
@@ -81,7 +81,7 @@
     auto revision = std::int64_t { 0 };
     for (const auto &policyCase : cases) {
         ++revision;
-        state.apply(start, { revision, false, { { RecordKind::Policy, "policy", revision, policyCase.value_.empty(), policyCase.value_ } } }, "test");
+        state.applyFromStore(start, { revision, false, { { RecordKind::Policy, "policy", revision, policyCase.value_.empty(), policyCase.value_ } } });
         CAPTURE(policyCase.value_);
         REQUIRE(state.view()->policy_ != nullptr);
         CHECK(state.view()->policy_->policy().version_ == policyCase.expectedVersion_);
@@ -93,11 +93,11 @@
 {
     auto state = makeState();
     state.noteStore(start - absl::Minutes(1), true);
-    state.apply(start, { 3, false, { backendRecord("a", 1, "zone-a,ready"), backendRecord("b", 2, "?"), backendRecord("c", 3, "elsewhere,ready") } }, "test");
+    state.applyFromStore(start, { 3, false, { backendRecord("a", 1, "zone-a,ready"), backendRecord("b", 2, "?"), backendRecord("c", 3, "elsewhere,ready") } });
     CHECK(usable(state, start) == std::vector<std::string> { "a" });
-    state.apply(start, { 4, false, { backendRecord("d", 4, "zone-b,draining") } }, "test");
+    state.applyFromStore(start, { 4, false, { backendRecord("d", 4, "zone-b,draining") } });
     CHECK(usable(state, start) == std::vector<std::string> { "a" });
-    state.apply(start, { 5, false, { backendRecord("a", 5, "zone-a,draining") } }, "test");
+    state.applyFromStore(start, { 5, false, { backendRecord("a", 5, "zone-a,draining") } });
     CHECK(usable(state, start).empty());
 }
 
@@ -106,28 +106,82 @@
 {
     auto state = makeState();
     state.noteStore(start - absl::Minutes(1), true);
-    state.apply(start - absl::Minutes(1), { 2, false, { backendRecord("a", 1, "zone-a,ready"), backendRecord("b", 2, "zone-b,ready") } }, "test");
+    state.applyFromStore(start - absl::Minutes(1), { 2, false, { backendRecord("a", 1, "zone-a,ready"), backendRecord("b", 2, "zone-b,ready") } });
     // With the store in order, a removal counts at once.
-    state.apply(start, { 3, false, { backendRecord("a", 3, "") } }, "test");
+    state.applyFromStore(start, { 3, false, { backendRecord("a", 3, "") } });
     CHECK(usable(state, start) == std::vector<std::string> { "b" });
     state.noteStore(start, false);
     state.noteStore(start + absl::Seconds(5), true);
-    state.apply(start + absl::Seconds(5), { 4, false, { backendRecord("b", 4, "") } }, "test");
+    state.applyFromStore(start + absl::Seconds(5), { 4, false, { backendRecord("b", 4, "") } });
     CHECK(usable(state, start + absl::Seconds(5)) == std::vector<std::string> { "b" });
     CHECK(usable(state, start + absl::Seconds(8)).empty());
     // It is back for good once it has registered again.
-    state.apply(start + absl::Seconds(6), { 5, false, { backendRecord("b", 5, "zone-b,ready") } }, "test");
+    state.applyFromStore(start + absl::Seconds(6), { 5, false, { backendRecord("b", 5, "zone-b,ready") } });
     CHECK(usable(state, start + absl::Minutes(1)) == std::vector<std::string> { "b" });
 }
 
+namespace
+{
+
+struct RemovalCase
+{
+    std::string title_;
+    bool isLapsed_;
+    /** Whether the host that hears of the removal reaches the store itself. */
+    bool reachesStore_;
+    bool isKept_;
+};
+
+}
+
+// Guards against requests to a server that has left, from a host that hears of it by a peer because the store turns this host away, and against
+// dropping a server that lapsed with the store's outage and was told by a peer.
+TEST_CASE("whether a removal told by a peer is a lapse is what the peer says")
+{
+    const auto cases = std::vector<RemovalCase> {
+        { "left, and this host does not reach the store", false, false, false },
+        { "left, and this host reaches the store", false, true, false },
+        { "lapsed, and this host does not reach the store", true, false, true },
+        { "lapsed, and this host reaches the store", true, true, true },
+    };
+    for (const auto &removalCase : cases) {
+        CAPTURE(removalCase.title_);
+        auto state = makeState();
+        state.noteStore(start - absl::Minutes(1), true);
+        state.applyFromStore(start - absl::Minutes(1), { 1, false, { backendRecord("a", 1, "zone-a,ready") } });
+        state.noteStore(start - absl::Seconds(5), removalCase.reachesStore_);
+        auto removal = backendRecord("a", 2, "");
+        removal.isLapsed_ = removalCase.isLapsed_;
+        state.applyFromPeer(start, { 2, false, { removal } }, "127.0.0.1:1");
+        CHECK(usable(state, start) == (removalCase.isKept_ ? std::vector<std::string> { "a" } : std::vector<std::string> {}));
+        CHECK(usable(state, start + absl::Seconds(2)).empty());
+    }
+}
+
+// Guards against a lapse that peers take for a server that has left.
+TEST_CASE("a lapse heard from the store is told to peers as one")
+{
+    for (const auto isReachable : { false, true }) {
+        CAPTURE(isReachable);
+        auto state = makeState();
+        state.noteStore(start - absl::Minutes(1), true);
+        state.applyFromStore(start - absl::Minutes(1), { 1, false, { backendRecord("a", 1, "zone-a,ready") } });
+        state.noteStore(start - absl::Seconds(5), isReachable);
+        state.applyFromStore(start, { 2, false, { backendRecord("a", 2, "") } });
+        const auto told = state.changesAfter(1).records_;
+        REQUIRE(told.size() == 1);
+        CHECK(told.front().isLapsed_ == !isReachable);
+    }
+}
+
 // Guards against full load on caches that went cold while their zone was evacuated.
 TEST_CASE("the servers of a zone count as cold when its evacuation ends")
 {
     auto state = makeState();
-    state.apply(start, { 2, false, { { RecordKind::Policy, "policy", 1, false, "1" }, backendRecord("a", 2, "zone-a,ready") } }, "test");
-    state.apply(start, { 3, false, { { RecordKind::Evacuation, "zone-a", 3, false, "{}" } } }, "test");
+    state.applyFromStore(start, { 2, false, { { RecordKind::Policy, "policy", 1, false, "1" }, backendRecord("a", 2, "zone-a,ready") } });
+    state.applyFromStore(start, { 3, false, { { RecordKind::Evacuation, "zone-a", 3, false, "{}" } } });
     CHECK(state.view()->evacuatedZones_.contains("zone-a"));
-    state.apply(start + absl::Seconds(9), { 4, false, { { RecordKind::Evacuation, "zone-a", 4, true, "" } } }, "test");
+    state.applyFromStore(start + absl::Seconds(9), { 4, false, { { RecordKind::Evacuation, "zone-a", 4, true, "" } } });
     CHECK(state.view()->evacuatedZones_.empty());
     CHECK(state.view()->backends_.at("s").front().coldUntil_ == start + absl::Seconds(12));
 }
--- a/libraries/process/recordbook.cpp
+++ b/libraries/process/recordbook.cpp
@@ -41,7 +41,7 @@
         }
         for (const auto &[key, isMissing] : missing) {
             if (isMissing) {
-                applyOne(now, { key.first, key.second, batch.asOf_, true, "" }, changes);
+                applyOne(now, { key.first, key.second, batch.asOf_, true, "", batch.hasLapses_ }, changes);
             }
         }
     }
--- a/libraries/process/recordfollower.cpp
+++ b/libraries/process/recordfollower.cpp
@@ -113,7 +113,7 @@
         logFailure("store_read_failed", *error);
         return false;
     }
-    services_.state_->apply(now, std::get<RecordBatch>(read), "store");
+    services_.state_->applyFromStore(now, std::get<RecordBatch>(read));
     return true;
 }
 
@@ -131,7 +131,7 @@
         logLine(wallNow(), LogLevel::Warning, "store_history_lost", { { "revision", fmt::format("{}", services_.state_->asOf()) } });
         return readAll(monotonicNow());
     }
-    services_.state_->apply(monotonicNow(), answer.batch_, "store");
+    services_.state_->applyFromStore(monotonicNow(), answer.batch_);
     return true;
 }
 
@@ -228,7 +228,7 @@
         logFailure("peer_fetch_failed", *error);
         return false;
     }
-    services_.state_->apply(monotonicNow(), std::get<RecordBatch>(fetched), "peer " + peerAddress);
+    services_.state_->applyFromPeer(monotonicNow(), std::get<RecordBatch>(fetched), peerAddress);
     return true;
 }
 
--- a/libraries/process/steeringhandlertest.cpp
+++ b/libraries/process/steeringhandlertest.cpp
@@ -121,7 +121,7 @@
         batch.records_.push_back({ RecordKind::Policy, "policy", 1, false, "x" });
         batch.records_.push_back({ RecordKind::Backend, "first", 2, false, "x" });
         batch.records_.push_back({ RecordKind::Backend, "second", 3, false, "x" });
-        state_->apply(monotonicNow(), batch, "test");
+        state_->applyFromStore(monotonicNow(), batch);
     }
 
     auto send(const std::string &method, const std::string &target, const std::string &withKey = key) -> Answer
--- a/libraries/process/steeringlogtest.cpp
+++ b/libraries/process/steeringlogtest.cpp
@@ -121,7 +121,7 @@
         {
             auto output = CapturedOutput();
             auto state = FleetState({ { "zone-a", "east" } }, "zone-a", decodersFor(server.address(), failureCase.rate_));
-            state.apply(monotonicNow(), { 5, true, { { RecordKind::Policy, "policy", 1, false, "x" }, { RecordKind::Backend, "b", 2, false, "x" } } }, "test");
+            state.applyFromStore(monotonicNow(), { 5, true, { { RecordKind::Policy, "policy", 1, false, "x" }, { RecordKind::Backend, "b", 2, false, "x" } } });
             auto services = SteeringServices {};
             services.hostName_ = "host";
             services.state_ = &state;
--- a/libraries/version/fleetrecord.h
+++ b/libraries/version/fleetrecord.h
@@ -30,6 +30,8 @@
     bool isRemoved_ = false;
     /** The bytes as stored; empty when removed. */
     std::string value_;
+    /** Removed while the store was away or had just come back; the owner may live and register again. */
+    bool isLapsed_ = false;
 
     auto operator==(const FleetRecord &other) const -> bool = default;
 };
@@ -42,6 +44,8 @@
     /** All records there are, so that what is missing has been removed. */
     bool isFull_ = false;
     std::vector<FleetRecord> records_;
+    /** Records that a full batch does not name may have lapsed. */
+    bool hasLapses_ = false;
 
     auto operator==(const RecordBatch &other) const -> bool = default;
 };
