--- a/libraries/fleet.thrift
+++ b/libraries/fleet.thrift
@@ -13,6 +13,8 @@
     5: string peerAddress;
     /** IP address and UDP port for heartbeats. */
     6: string gossipAddress;
+    /** Processor time that the host has, in thousandths of a core; 0 when it is not known. */
+    7: i32 processorMillis;
 }
 
 /** The newest heartbeat of one host that the sender has heard of. */
@@ -23,6 +25,8 @@
     3: i32 sequence;
     /** 0 starting, 1 ready, 2 leaving. */
     4: i8 state;
+    /** Whether the store answered the host's last call. */
+    5: bool reachesStore;
 }
 
 /** A request that ended the backend servers that ran it. */
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -55,6 +55,7 @@
     identity.callerAddress = settings.callerAddress_;
     identity.peerAddress = settings.peerAddress_;
     identity.gossipAddress = settings.gossipAddress_;
+    identity.processorMillis = settings.processorMillis_;
     return identity;
 }
 
@@ -124,8 +125,17 @@
                                    [this](const RequestObservation &observation) {
                                        metrics_.observe(observation);
                                    } })
-    , follower_(std::make_unique<RecordFollower>(
-          RecordFollowerServices { adapter_.store_, &state_, settings_.name_, encodeHostRegistration(identity_), settings_.peerSeeds_ }))
+    , follower_(std::make_unique<RecordFollower>(RecordFollowerServices { adapter_.store_,
+                                                                          &state_,
+                                                                          settings_.name_,
+                                                                          encodeHostRegistration(identity_),
+                                                                          settings_.peerSeeds_,
+                                                                          [this](absl::Time now) {
+                                                                              return gossip_->watchesStore(now);
+                                                                          },
+                                                                          [this](absl::Time now) {
+                                                                              gossip_->announceRecords(now);
+                                                                          } }))
     , gossip_(std::make_unique<HostGossip>(GossipServices { identity_,
                                                             settings_.gossipSeeds_,
                                                             settings_.zones_,
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -39,9 +39,11 @@
     /** Addresses for Thrift calls and for heartbeats of hosts that may know others. */
     std::vector<std::string> peerSeeds_;
     std::vector<std::string> gossipSeeds_;
-    /** Address for metrics; empty when they are not served. */
+    /** Address for metrics, status and explanations; empty when they are not served. */
     std::string metricsAddress_;
     FleetTerms terms_;
+    /** Processor time that the host has, in thousandths of a core; 0 when it is not known. */
+    int processorMillis_ = 0;
     /** Requests served at once. */
     int maximumRequests_ = 256;
     std::size_t maximumConnections_ = 2000;
--- a/libraries/process/fleetstate.cpp
+++ b/libraries/process/fleetstate.cpp
@@ -301,9 +301,11 @@
 auto FleetState::noteStore(absl::Time now, bool isReachable) -> void
 {
     const auto lock = absl::MutexLock(&mutex_);
-    if (isReachable && !isStoreReachable_) {
+    // The first answer after a start says nothing about an outage before it.
+    if (isReachable && isStoreLost_) {
         storeRecoveredAt_ = now;
     }
+    isStoreLost_ = !isReachable;
     if (isReachable != isStoreReachable_) {
         logLine(wallNow(), LogLevel::Warning, isReachable ? "store_regained" : "store_lost", { { "revision", fmt::format("{}", book_.asOf()) } });
     }
@@ -313,6 +315,12 @@
     }
 }
 
+auto FleetState::reachesStore() const -> bool
+{
+    const auto lock = absl::ReaderMutexLock(&mutex_);
+    return isStoreReachable_;
+}
+
 auto FleetState::storeHeardAt() const -> absl::Time
 {
     const auto lock = absl::ReaderMutexLock(&mutex_);
--- a/libraries/process/fleetstate.h
+++ b/libraries/process/fleetstate.h
@@ -47,6 +47,9 @@
     /** Notes that the store answers or that it does not, which decides what a missing registration means. */
     auto noteStore(absl::Time now, bool isReachable) -> void;
 
+    /** Whether the store answered the last call. */
+    [[nodiscard]] auto reachesStore() const -> bool;
+
     /** Monotonic time at which the store last answered. */
     [[nodiscard]] auto storeHeardAt() const -> absl::Time;
 
@@ -78,6 +81,8 @@
     absl::Time storeHeardAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
     absl::Time storeRecoveredAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
     bool isStoreReachable_ ABSL_GUARDED_BY(mutex_) = false;
+    /** A call has failed since the last one that was answered. */
+    bool isStoreLost_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
 }
--- a/libraries/process/fleetstatetest.cpp
+++ b/libraries/process/fleetstatetest.cpp
@@ -158,6 +158,22 @@
     }
 }
 
+// Guards against a server that has left and is kept, here and by all peers that are told, because this host has just started.
+TEST_CASE("the first answer of the store is no return from an outage")
+{
+    for (const auto hasFailed : { false, true }) {
+        CAPTURE(hasFailed);
+        auto state = makeState();
+        if (hasFailed) {
+            state.noteStore(start - absl::Seconds(2), false);
+        }
+        state.applyFromStore(start - absl::Seconds(1), { 1, true, { backendRecord("a", 1, "zone-a,ready") } });
+        state.noteStore(start - absl::Seconds(1), true);
+        state.applyFromStore(start, { 2, false, { backendRecord("a", 2, "") } });
+        CHECK(usable(state, start).size() == (hasFailed ? 1 : 0));
+    }
+}
+
 // Guards against a lapse that peers take for a server that has left.
 TEST_CASE("a lapse heard from the store is told to peers as one")
 {
--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -21,11 +21,32 @@
 /** Each so many ticks, a heartbeat also goes to a host of another region; links between regions are priced. */
 constexpr auto remoteTicks = 2;
 
+/** Each so many ticks, a heartbeat to a host of the own region carries those of all regions, which are needed less often than the region's own. */
+constexpr auto allScopeTicks = 4;
+
 /** Each so many ticks, a heartbeat goes to any host or seed, so that two groups that were cut off find each other again. */
 constexpr auto anyTicks = 8;
 
-/** Peers that are told at once of something new. */
-constexpr auto announceCount = std::size_t { 6 };
+/**
+ * Peers that are told at once of something new. Each tells as many further ones when it has fetched new records, so that they reach a region of 40
+ * hosts in two to three steps and nobody serves all of them.
+ */
+constexpr auto announceCount = std::size_t { 5 };
+
+/** Of these, how many are in other zones of the region; traffic between zones is priced. */
+constexpr auto announceElsewhere = std::size_t { 1 };
+
+auto zonesOfRegion(const ZoneRegions &zones, const std::string &zone) -> std::vector<std::string>
+{
+    auto found = std::vector<std::string> {};
+    const auto own = zones.find(zone);
+    for (const auto &[other, region] : zones) {
+        if (own != zones.end() && region == own->second) {
+            found.push_back(other);
+        }
+    }
+    return found;
+}
 
 auto crashMessage(absl::Time now, const CrashRecord &record) -> fleet::CrashSighting
 {
@@ -40,6 +61,7 @@
 
 HostGossip::HostGossip(GossipServices services)
     : services_(std::move(services))
+    , regionZones_(zonesOfRegion(services_.zones_, services_.self_.zone))
     , table_(services_.self_)
     , random_(stableHash(services_.self_.name, static_cast<std::uint64_t>(services_.self_.incarnation)))
 {
@@ -84,10 +106,9 @@
     }
 }
 
-auto HostGossip::regionOf(const std::string &zone) const -> std::string
+auto HostGossip::isInRegion(const KnownHost &host) const -> bool
 {
-    const auto found = services_.zones_.find(zone);
-    return found == services_.zones_.end() ? std::string {} : found->second;
+    return host.identity_ && std::find(regionZones_.begin(), regionZones_.end(), host.identity_->zone) != regionZones_.end();
 }
 
 // Reads the registrations of new records only, since this runs for each request as well.
@@ -115,52 +136,49 @@
 
 auto HostGossip::tick(absl::Time now) -> void
 {
-    auto targets = std::vector<std::string> {};
+    auto targets = std::vector<Target> {};
     {
         const auto lock = absl::MutexLock(&mutex_);
         learnRegistered(now);
-        table_.beat(now, services_.stage_());
+        table_.beat(now, services_.stage_(), services_.state_->reachesStore());
         ticks_ += 1;
         targets = chooseTargets(now);
     }
-    const auto data = message(now);
     for (const auto &target : targets) {
-        send(target, data);
+        send(target.address_, message(now, target.scope_));
     }
 }
 
-auto HostGossip::chooseTargets(absl::Time now) -> std::vector<std::string>
+auto HostGossip::chooseTargets(absl::Time now) -> std::vector<Target>
 {
     mutex_.AssertHeld();
-    const auto ownRegion = regionOf(services_.self_.zone);
     auto near = std::vector<std::string> {};
     auto remote = std::vector<std::string> {};
     for (const auto &host : table_.alive(now)) {
-        auto &group = regionOf(host.identity_->zone) == ownRegion ? near : remote;
-        group.push_back(host.identity_->gossipAddress);
+        (isInRegion(host) ? near : remote).push_back(host.identity_->gossipAddress);
     }
     auto any = services_.seeds_;
     for (const auto &host : table_.addressed()) {
         any.push_back(host.identity_->gossipAddress);
     }
     std::erase(any, services_.self_.gossipAddress);
-    auto targets = std::vector<std::string> {};
-    const auto addOne = [&](const std::vector<std::string> &group) {
+    auto targets = std::vector<Target> {};
+    const auto addOne = [&](const std::vector<std::string> &group, Scope scope) {
         if (!group.empty()) {
-            targets.push_back(group[random_() % group.size()]);
+            targets.push_back({ group[random_() % group.size()], scope });
         }
     };
-    addOne(near);
+    addOne(near, ticks_ % allScopeTicks == 0 ? Scope::All : Scope::Region);
     if (ticks_ % remoteTicks == 0) {
-        addOne(remote);
+        addOne(remote, Scope::Region);
     }
     if (ticks_ % anyTicks == 0 || near.size() + remote.size() == 0) {
-        addOne(any);
+        addOne(any, Scope::All);
     }
     return targets;
 }
 
-auto HostGossip::message(absl::Time now) -> std::string
+auto HostGossip::message(absl::Time now, Scope scope) -> std::string
 {
     auto gossip = fleet::Gossip {};
     gossip.recordsAsOf = services_.state_->asOf();
@@ -169,7 +187,9 @@
     }
     const auto lock = absl::MutexLock(&mutex_);
     gossip.sender = *table_.self().identity_;
-    gossip.heartbeats = table_.heartbeats(now);
+    if (scope != Scope::None) {
+        gossip.heartbeats = table_.heartbeats(now, scope == Scope::Region ? regionZones_ : std::vector<std::string> {});
+    }
     return encodeGossip(gossip);
 }
 
@@ -199,7 +219,7 @@
         services_.newerPeer_({ gossip->sender.peerAddress, gossip->recordsAsOf });
     } else if (gossip->recordsAsOf < asOf) {
         // The sender may not hear the store; tell it at once where newer records are.
-        send(gossip->sender.gossipAddress, message(now));
+        send(gossip->sender.gossipAddress, message(now, Scope::None));
     }
 }
 
@@ -208,19 +228,54 @@
     auto targets = std::vector<std::string> {};
     {
         const auto lock = absl::MutexLock(&mutex_);
-        table_.beat(now, services_.stage_());
+        table_.beat(now, services_.stage_(), services_.state_->reachesStore());
         for (const auto &host : table_.alive(now)) {
             targets.push_back(host.identity_->gossipAddress);
         }
         std::shuffle(targets.begin(), targets.end(), random_);
     }
     targets.resize(std::min(targets.size(), announceCount));
-    const auto data = message(now);
+    const auto data = message(now, Scope::All);
+    for (const auto &target : targets) {
+        send(target, data);
+    }
+}
+
+auto HostGossip::announceRecords(absl::Time now) -> void
+{
+    auto targets = std::vector<std::string> {};
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        auto elsewhere = std::vector<std::string> {};
+        for (const auto &host : table_.alive(now)) {
+            if (isInRegion(host)) {
+                (host.identity_->zone == services_.self_.zone ? targets : elsewhere).push_back(host.identity_->gossipAddress);
+            }
+        }
+        std::shuffle(targets.begin(), targets.end(), random_);
+        std::shuffle(elsewhere.begin(), elsewhere.end(), random_);
+        elsewhere.resize(std::min(elsewhere.size(), announceElsewhere));
+        targets.resize(std::min(targets.size(), announceCount - elsewhere.size()));
+        targets.insert(targets.end(), elsewhere.begin(), elsewhere.end());
+    }
+    const auto data = message(now, Scope::None);
     for (const auto &target : targets) {
         send(target, data);
     }
 }
 
+auto HostGossip::watchesStore(absl::Time now) const -> bool
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    return table_.watchesStore(now, regionZones_);
+}
+
+auto HostGossip::aliveHosts(absl::Time now) const -> std::vector<KnownHost>
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    return table_.alive(now);
+}
+
 auto HostGossip::readyHosts(absl::Time now) const -> std::vector<KnownHost>
 {
     const auto lock = absl::MutexLock(&mutex_);
--- a/libraries/process/hostgossip.h
+++ b/libraries/process/hostgossip.h
@@ -62,6 +62,15 @@
     /** Tells a few peers at once, such as that this host is leaving. */
     auto announce(absl::Time now) -> void;
 
+    /** Tells a few other hosts of the region that this host has new records, so that they fetch them and tell others. */
+    auto announceRecords(absl::Time now) -> void;
+
+    /** Whether this host watches the store for its region. */
+    [[nodiscard]] auto watchesStore(absl::Time now) const -> bool;
+
+    /** Other hosts that are alive. */
+    [[nodiscard]] auto aliveHosts(absl::Time now) const -> std::vector<KnownHost>;
+
     /** Hosts that callers may be sent to. */
     [[nodiscard]] auto readyHosts(absl::Time now) const -> std::vector<KnownHost>;
     /** Hashes of the hosts among which shares are split. */
@@ -72,12 +81,29 @@
     auto tick(absl::Time now) -> void;
     auto learnRegistered(absl::Time now) const -> void;
     auto hear(absl::Time now, const std::string &data) -> void;
-    auto chooseTargets(absl::Time now) -> std::vector<std::string>;
-    auto message(absl::Time now) -> std::string;
+    /** Which heartbeats a datagram carries. */
+    enum class Scope {
+        /** Those of all hosts. */
+        All,
+        /** Those of this host's region, which is what hosts of other regions hear of it. */
+        Region,
+        /** None; the datagram tells of newer records only. */
+        None,
+    };
+    struct Target
+    {
+        std::string address_;
+        Scope scope_;
+    };
+
+    auto chooseTargets(absl::Time now) -> std::vector<Target>;
+    auto message(absl::Time now, Scope scope) -> std::string;
     auto send(const std::string &address, const std::string &data) -> void;
-    auto regionOf(const std::string &zone) const -> std::string;
+    auto isInRegion(const KnownHost &host) const -> bool;
 
     const GossipServices services_;
+    /** Zones of this host's region. */
+    const std::vector<std::string> regionZones_;
     mutable absl::Mutex mutex_;
     mutable HostTable table_ ABSL_GUARDED_BY(mutex_);
     /** Revision of the records whose registrations the table holds. */
--- a/libraries/process/hosttable.cpp
+++ b/libraries/process/hosttable.cpp
@@ -19,6 +19,14 @@
 /** How long a silent host keeps its shares: it may be cut off and still serve callers. */
 constexpr auto shareRetention = absl::Seconds(60);
 
+/** Hosts that watch the store for a region. The others hear of changes from them, so that the store's calls do not grow with the number of hosts. */
+constexpr auto storeWatchers = 3;
+
+auto isIn(const KnownHost &host, const std::vector<std::string> &zones) -> bool
+{
+    return host.identity_ && std::find(zones.begin(), zones.end(), host.identity_->zone) != zones.end();
+}
+
 auto isAlive(const KnownHost &host, absl::Time now) -> bool
 {
     return now - host.heardAt_ < aliveTime;
@@ -39,11 +47,12 @@
     own.identity_ = self;
 }
 
-auto HostTable::beat(absl::Time now, HostStage stage) -> void
+auto HostTable::beat(absl::Time now, HostStage stage, bool reachesStore) -> void
 {
     auto &own = hosts_[selfHash_];
     own.sequence_ += 1;
     own.stage_ = stage;
+    own.reachesStore_ = reachesStore;
     own.heardAt_ = now;
     logLiveness(now);
 }
@@ -58,6 +67,7 @@
     if (hash != selfHash_ && (!sender.identity_ || gossip.sender.incarnation >= sender.identity_->incarnation)) {
         sender.identity_ = gossip.sender;
     }
+    sender.recordsAsOf_ = gossip.recordsAsOf;
 }
 
 auto HostTable::hearOne(absl::Time now, const fleet::Heartbeat &heartbeat) -> void
@@ -76,6 +86,7 @@
     host.incarnation_ = heartbeat.incarnation;
     host.sequence_ = heartbeat.sequence;
     host.stage_ = static_cast<HostStage>(heartbeat.state);
+    host.reachesStore_ = heartbeat.reachesStore;
     host.heardAt_ = now;
 }
 
@@ -91,11 +102,11 @@
     }
 }
 
-auto HostTable::heartbeats(absl::Time now) const -> std::vector<fleet::Heartbeat>
+auto HostTable::heartbeats(absl::Time now, const std::vector<std::string> &zones) const -> std::vector<fleet::Heartbeat>
 {
     auto heartbeats = std::vector<fleet::Heartbeat> {};
     for (const auto &[hash, host] : hosts_) {
-        if (!isAlive(host, now)) {
+        if (!isAlive(host, now) || (!zones.empty() && !isIn(host, zones))) {
             continue;
         }
         auto heartbeat = fleet::Heartbeat {};
@@ -103,11 +114,32 @@
         heartbeat.incarnation = host.incarnation_;
         heartbeat.sequence = host.sequence_;
         heartbeat.state = static_cast<std::int8_t>(host.stage_);
+        heartbeat.reachesStore = host.reachesStore_;
         heartbeats.push_back(heartbeat);
     }
     return heartbeats;
 }
 
+auto HostTable::watchesStore(absl::Time now, const std::vector<std::string> &zones) const -> bool
+{
+    const auto mayWatch = [&](const KnownHost &host) {
+        return isAlive(host, now) && host.reachesStore_ && host.stage_ != HostStage::Leaving && isIn(host, zones);
+    };
+    const auto place = [](std::int32_t hash, const KnownHost &host) {
+        return std::pair(-host.identity_->processorMillis, hash);
+    };
+    const auto own = place(selfHash_, self());
+    auto count = 0;
+    auto before = 0;
+    for (const auto &[hash, host] : hosts_) {
+        if (mayWatch(host)) {
+            count += 1;
+            before += place(hash, host) < own ? 1 : 0;
+        }
+    }
+    return count == 0 || (mayWatch(self()) && before < storeWatchers);
+}
+
 auto HostTable::alive(absl::Time now) const -> std::vector<KnownHost>
 {
     auto found = std::vector<KnownHost> {};
--- a/libraries/process/hosttable.h
+++ b/libraries/process/hosttable.h
@@ -29,6 +29,10 @@
     std::int64_t incarnation_ = 0;
     std::int32_t sequence_ = 0;
     HostStage stage_ = HostStage::Starting;
+    /** Whether the store answered its last call. */
+    bool reachesStore_ = false;
+    /** Revision of the store up to which its records are complete, as it last told this host itself. */
+    std::int64_t recordsAsOf_ = 0;
     /** Monotonic time at which its heartbeat last advanced. */
     absl::Time heardAt_ = absl::InfinitePast();
     /** Monotonic time at which it was last known to be registered in the store. */
@@ -45,7 +49,7 @@
     explicit HostTable(const fleet::HostIdentity &self);
 
     /** This host's own heartbeat advances. */
-    auto beat(absl::Time now, HostStage stage) -> void;
+    auto beat(absl::Time now, HostStage stage, bool reachesStore) -> void;
 
     /** Takes over the heartbeats of a datagram. */
     auto hear(absl::Time now, const fleet::Gossip &gossip) -> void;
@@ -53,8 +57,14 @@
     /** Takes over registrations from the store, which tell addresses but nothing about liveness. */
     auto learn(absl::Time now, const std::vector<fleet::HostIdentity> &registered) -> void;
 
-    /** Heartbeats to pass on. */
-    [[nodiscard]] auto heartbeats(absl::Time now) const -> std::vector<fleet::Heartbeat>;
+    /** Heartbeats to pass on, of hosts in the given zones, or of all hosts without zones. */
+    [[nodiscard]] auto heartbeats(absl::Time now, const std::vector<std::string> &zones = {}) const -> std::vector<fleet::Heartbeat>;
+
+    /**
+     * Whether this host is one of those that watch the store for the given zones: of the live hosts there that reach the store, the few that have most
+     * processor time, in an order alike everywhere. Without any such host, every host tries.
+     */
+    [[nodiscard]] auto watchesStore(absl::Time now, const std::vector<std::string> &zones) const -> bool;
 
     /** Hosts whose heartbeat is recent, without this one. */
     [[nodiscard]] auto alive(absl::Time now) const -> std::vector<KnownHost>;
--- a/libraries/process/hosttabletest.cpp
+++ b/libraries/process/hosttabletest.cpp
@@ -19,6 +19,12 @@
     return made;
 }
 
+auto inZone(fleet::HostIdentity made, const std::string &zone) -> fleet::HostIdentity
+{
+    made.zone = zone;
+    return made;
+}
+
 auto gossipOf(const HostTable &table, absl::Time now) -> fleet::Gossip
 {
     auto gossip = fleet::Gossip {};
@@ -34,17 +40,17 @@
 {
     auto first = HostTable(identity("first", 1));
     auto second = HostTable(identity("second", 1));
-    second.beat(start, HostStage::Starting);
+    second.beat(start, HostStage::Starting, true);
     first.hear(start, gossipOf(second, start));
     CHECK(first.alive(start).size() == 1);
     CHECK(first.ready(start).empty());
-    second.beat(start, HostStage::Ready);
+    second.beat(start, HostStage::Ready, true);
     first.hear(start, gossipOf(second, start));
     CHECK(first.ready(start).size() == 1);
     // The same heartbeat again, as a third host would pass it on, does not keep the host alive.
     first.hear(start + absl::Seconds(2), gossipOf(second, start));
     CHECK(first.ready(start + absl::Seconds(4)).empty());
-    second.beat(start + absl::Seconds(4), HostStage::Leaving);
+    second.beat(start + absl::Seconds(4), HostStage::Leaving, true);
     first.hear(start + absl::Seconds(4), gossipOf(second, start + absl::Seconds(4)));
     CHECK(first.alive(start + absl::Seconds(4)).size() == 1);
     CHECK(first.ready(start + absl::Seconds(4)).empty());
@@ -54,12 +60,12 @@
 TEST_CASE("a host outdoes the heartbeats of its earlier process")
 {
     auto earlier = HostTable(identity("self", 900));
-    earlier.beat(start, HostStage::Ready);
+    earlier.beat(start, HostStage::Ready, true);
     auto peer = HostTable(identity("peer", 1));
     peer.hear(start, gossipOf(earlier, start));
     auto restarted = HostTable(identity("self", 100));
     restarted.hear(start, gossipOf(peer, start));
-    restarted.beat(start + absl::Seconds(1), HostStage::Starting);
+    restarted.beat(start + absl::Seconds(1), HostStage::Starting, true);
     peer.hear(start + absl::Seconds(1), gossipOf(restarted, start + absl::Seconds(1)));
     REQUIRE(peer.alive(start + absl::Seconds(3)).size() == 1);
     CHECK(peer.alive(start + absl::Seconds(3))[0].stage_ == HostStage::Starting);
@@ -76,3 +82,84 @@
     CHECK(table.shareHolders(start + absl::Seconds(30)).size() == 3);
     CHECK(table.shareHolders(start + absl::Minutes(5)).size() == 1);
 }
+
+namespace
+{
+
+struct WatcherCase
+{
+    std::string title_;
+    int hosts_;
+    /** Hosts of the front of the list that do not reach the store. */
+    int turnedAway_;
+    int expectedWatchers_;
+};
+
+}
+
+// Guards against store calls that grow with the number of hosts, and against a region in which nobody watches the store.
+TEST_CASE("a few hosts of a region that reach the store watch it")
+{
+    const auto cases = std::vector<WatcherCase> {
+        { "one host", 1, 0, 1 },
+        { "two hosts", 2, 0, 2 },
+        { "many hosts", 40, 0, 3 },
+        { "some are turned away", 40, 20, 3 },
+        { "all but one are turned away", 40, 39, 1 },
+        { "all are turned away, so all try", 6, 6, 6 },
+    };
+    const auto zones = std::vector<std::string> { "zone-a", "zone-b" };
+    for (const auto &watcherCase : cases) {
+        CAPTURE(watcherCase.title_);
+        auto tables = std::vector<HostTable> {};
+        for (auto number = 0; number < watcherCase.hosts_; ++number) {
+            tables.emplace_back(inZone(identity("host-" + std::to_string(number), 1), number % 2 == 0 ? "zone-a" : "zone-b"));
+            tables.back().beat(start, HostStage::Ready, number >= watcherCase.turnedAway_);
+        }
+        auto elsewhere = HostTable(inZone(identity("elsewhere", 1), "zone-c"));
+        elsewhere.beat(start, HostStage::Ready, true);
+        auto watchers = 0;
+        for (auto &table : tables) {
+            for (const auto &other : tables) {
+                table.hear(start, gossipOf(other, start));
+            }
+            table.hear(start, gossipOf(elsewhere, start));
+            watchers += table.watchesStore(start, zones) ? 1 : 0;
+        }
+        CHECK(watchers == watcherCase.expectedWatchers_);
+        // Those that are left take over from dead ones.
+        CHECK(tables.back().watchesStore(start + absl::Seconds(10), zones));
+    }
+}
+
+// Guards against changes that wait for hosts with little processor time (DRAIN on the grown deployment of Ikivu, trouble-1).
+TEST_CASE("hosts with most processor time watch the store first")
+{
+    const auto zones = std::vector<std::string> { "zone-a" };
+    auto tables = std::vector<HostTable> {};
+    for (auto number = 0; number < 8; ++number) {
+        auto made = identity("host-" + std::to_string(number), 1);
+        made.processorMillis = number * 70;
+        tables.emplace_back(made);
+        tables.back().beat(start, HostStage::Ready, true);
+    }
+    for (auto number = std::size_t { 0 }; number < tables.size(); ++number) {
+        for (const auto &other : tables) {
+            tables[number].hear(start, gossipOf(other, start));
+        }
+        CAPTURE(number);
+        CHECK(tables[number].watchesStore(start, zones) == (number >= 5));
+    }
+}
+
+// Guards against heartbeats between regions that grow with the whole deployment.
+TEST_CASE("heartbeats can be limited to zones")
+{
+    auto table = HostTable(inZone(identity("self", 1), "zone-a"));
+    auto other = HostTable(inZone(identity("other", 1), "zone-c"));
+    table.beat(start, HostStage::Ready, true);
+    other.beat(start, HostStage::Ready, true);
+    table.hear(start, gossipOf(other, start));
+    CHECK(table.heartbeats(start).size() == 2);
+    CHECK(table.heartbeats(start, { "zone-a", "zone-b" }).size() == 1);
+}
--- a/libraries/process/recordfollower.cpp
+++ b/libraries/process/recordfollower.cpp
@@ -25,9 +25,15 @@
 constexpr auto firstBackoff = absl::Milliseconds(100);
 constexpr auto longestBackoff = absl::Seconds(1);
 
-/** How long newer records may still come from the store before a peer is asked. */
+/** Time after which a host that does not watch the store looks whether it should. */
+constexpr auto watchPoll = absl::Milliseconds(250);
+
+/** How long newer records may still come from the store, to a host that watches it, before a peer is asked. */
 constexpr auto storeGrace = absl::Milliseconds(300);
 
+/** Pause after a fetch, so that changes in quick succession need one call between two hosts as well. */
+constexpr auto fetchPause = absl::Milliseconds(200);
+
 constexpr auto fetchTimeout = absl::Milliseconds(800);
 constexpr auto seedInterval = absl::Milliseconds(500);
 
@@ -89,9 +95,18 @@
 {
     auto needsFullRead = true;
     auto backoff = firstBackoff;
+    auto isWatching = false;
     while (!stopping_.HasBeenNotified()) {
-        const auto now = monotonicNow();
-        const auto isAnswered = needsFullRead ? readAll(now) : watchOnce();
+        const auto watches = needsFullRead || services_.watchesStore_(monotonicNow());
+        if (watches != isWatching) {
+            isWatching = watches;
+            logLine(wallNow(), LogLevel::Info, watches ? "store_watch_begun" : "store_watch_left_to_peers", {});
+        }
+        if (!watches) {
+            stopping_.WaitForNotificationWithTimeout(watchPoll);
+            continue;
+        }
+        const auto isAnswered = needsFullRead ? readAll() : watchOnce();
         services_.state_->noteStore(monotonicNow(), isAnswered);
         if (isAnswered) {
             needsFullRead = false;
@@ -104,7 +119,16 @@
     }
 }
 
-auto RecordFollower::readAll(absl::Time now) -> bool
+auto RecordFollower::applyFromStore(const RecordBatch &batch) -> void
+{
+    const auto now = monotonicNow();
+    services_.state_->applyFromStore(now, batch);
+    if (!batch.records_.empty()) {
+        services_.changed_(now);
+    }
+}
+
+auto RecordFollower::readAll() -> bool
 {
     const auto read = attempt([&] {
         return services_.store_.readAll_();
@@ -113,7 +137,7 @@
         logFailure("store_read_failed", *error);
         return false;
     }
-    services_.state_->applyFromStore(now, std::get<RecordBatch>(read));
+    applyFromStore(std::get<RecordBatch>(read));
     return true;
 }
 
@@ -129,52 +153,61 @@
     const auto &answer = std::get<WatchAnswer>(watched);
     if (answer.isHistoryLost_) {
         logLine(wallNow(), LogLevel::Warning, "store_history_lost", { { "revision", fmt::format("{}", services_.state_->asOf()) } });
-        return readAll(monotonicNow());
+        return readAll();
     }
-    services_.state_->applyFromStore(monotonicNow(), answer.batch_);
+    applyFromStore(answer.batch_);
     return true;
 }
 
 auto RecordFollower::keepRegistered() -> void
 {
     while (!stopping_.HasBeenNotified()) {
-        auto lease = std::optional<HostLease> {};
         {
             const auto lock = absl::MutexLock(&mutex_);
             if (isLeaving_) {
                 return;
             }
-            lease = lease_;
         }
-        auto pause = registrationRetry;
-        if (!lease) {
-            const auto registered = attempt([&] {
-                return services_.store_.registerHost_(services_.hostName_, services_.registration_);
-            });
-            if (const auto *error = std::get_if<Error>(&registered)) {
-                logFailure("registration_failed", *error);
-            } else {
-                const auto lock = absl::MutexLock(&mutex_);
-                lease_ = std::get<HostLease>(registered);
-                pause = lease_->lifetime_ / renewalsPerLifetime;
-            }
-        } else {
-            const auto renewed = attempt([&] {
-                return services_.store_.renewHost_(*lease);
-            });
-            const auto *isLive = std::get_if<bool>(&renewed);
-            if (isLive == nullptr) {
-                logFailure("lease_renewal_failed", std::get<Error>(renewed));
-            } else if (*isLive) {
-                pause = lease->lifetime_ / renewalsPerLifetime;
-            } else {
-                const auto lock = absl::MutexLock(&mutex_);
-                lease_.reset();
-                continue;
-            }
+        stopping_.WaitForNotificationWithTimeout(keepLease());
+    }
+}
+
+// A host that does not watch the store learns from its renewals whether it reaches the store.
+auto RecordFollower::keepLease() -> absl::Duration
+{
+    auto lease = std::optional<HostLease> {};
+    {
+        const auto lock = absl::MutexLock(&mutex_);
+        lease = lease_;
+    }
+    if (!lease) {
+        const auto registered = attempt([&] {
+            return services_.store_.registerHost_(services_.hostName_, services_.registration_);
+        });
+        if (const auto *error = std::get_if<Error>(&registered)) {
+            logFailure("registration_failed", *error);
+            return registrationRetry;
         }
-        stopping_.WaitForNotificationWithTimeout(pause);
+        services_.state_->noteStore(monotonicNow(), true);
+        const auto lock = absl::MutexLock(&mutex_);
+        lease_ = std::get<HostLease>(registered);
+        return lease_->lifetime_ / renewalsPerLifetime;
+    }
+    const auto renewed = attempt([&] {
+        return services_.store_.renewHost_(*lease);
+    });
+    const auto *isLive = std::get_if<bool>(&renewed);
+    services_.state_->noteStore(monotonicNow(), isLive != nullptr);
+    if (isLive == nullptr) {
+        logFailure("lease_renewal_failed", std::get<Error>(renewed));
+        return registrationRetry;
+    }
+    if (*isLive) {
+        return lease->lifetime_ / renewalsPerLifetime;
     }
+    const auto lock = absl::MutexLock(&mutex_);
+    lease_.reset();
+    return absl::ZeroDuration();
 }
 
 auto RecordFollower::deregister() -> void
@@ -196,26 +229,38 @@
     }
 }
 
+// Waits a while for a peer with newer records.
+auto RecordFollower::awaitNewer() -> std::optional<NewerPeer>
+{
+    const auto hasNewer = [this] {
+        mutex_.AssertHeld();
+        return newer_.has_value();
+    };
+    const auto lock = absl::MutexLock(&mutex_);
+    mutex_.AwaitWithTimeout(absl::Condition(&hasNewer), storeGrace);
+    return std::exchange(newer_, std::nullopt);
+}
+
 auto RecordFollower::catchUp() -> void
 {
-    while (!stopping_.WaitForNotificationWithTimeout(storeGrace)) {
-        auto newer = std::optional<NewerPeer> {};
-        {
-            const auto lock = absl::MutexLock(&mutex_);
-            newer = newer_;
-        }
+    while (!stopping_.HasBeenNotified()) {
+        const auto newer = awaitNewer();
         if (services_.state_->asOf() == 0) {
             if (!newer || !fetchFrom(newer->peerAddress_)) {
                 fetchFromSeeds();
             }
             continue;
         }
-        // Heard of before the last pause, and the store has not brought it since.
-        if (newer && newer->asOf_ > services_.state_->asOf()) {
+        if (!newer) {
+            continue;
+        }
+        if (services_.watchesStore_(monotonicNow()) && services_.state_->reachesStore()) {
+            stopping_.WaitForNotificationWithTimeout(storeGrace);
+        }
+        if (newer->asOf_ > services_.state_->asOf()) {
             static_cast<void>(fetchFrom(newer->peerAddress_));
+            stopping_.WaitForNotificationWithTimeout(fetchPause);
         }
-        const auto lock = absl::MutexLock(&mutex_);
-        newer_.reset();
     }
 }
 
@@ -228,7 +273,12 @@
         logFailure("peer_fetch_failed", *error);
         return false;
     }
-    services_.state_->applyFromPeer(monotonicNow(), std::get<RecordBatch>(fetched), peerAddress);
+    const auto now = monotonicNow();
+    const auto asOfBefore = services_.state_->asOf();
+    services_.state_->applyFromPeer(now, std::get<RecordBatch>(fetched), peerAddress);
+    if (services_.state_->asOf() > asOfBefore) {
+        services_.changed_(now);
+    }
     return true;
 }
 
--- a/libraries/process/recordfollower.h
+++ b/libraries/process/recordfollower.h
@@ -28,6 +28,10 @@
     std::string registration_;
     /** Addresses of hosts to ask while no peer is known. */
     std::vector<std::string> seeds_;
+    /** Whether this host watches the store; otherwise peers bring its changes. */
+    std::function<bool(absl::Time)> watchesStore_;
+    /** Called when the store or a peer has brought changes. */
+    std::function<void(absl::Time)> changed_;
 };
 
 /** Three threads: one watches the store, one keeps the registration, one fetches newer records from peers. Thread-safe. */
@@ -52,10 +56,14 @@
 
 private:
     auto watch() -> void;
-    auto readAll(absl::Time now) -> bool;
+    auto readAll() -> bool;
     auto watchOnce() -> bool;
+    auto applyFromStore(const RecordBatch &batch) -> void;
     auto keepRegistered() -> void;
+    /** One registration or renewal; the time until the next. */
+    auto keepLease() -> absl::Duration;
     auto catchUp() -> void;
+    auto awaitNewer() -> std::optional<NewerPeer>;
     auto fetchFrom(const std::string &peerAddress) -> bool;
     auto fetchFromSeeds() -> void;
 
--- a/libraries/request/lookup.cpp
+++ b/libraries/request/lookup.cpp
@@ -1,5 +1,6 @@
 #include "request/lookup.h"
 
+#include "core/digest.h"
 #include "version/sharetable.h"
 
 #include <algorithm>
@@ -64,8 +65,8 @@
 // Draws candidates at random, without replacement, until enough of them are available.
 auto drawAvailable(Candidates candidates, const AvailableHosts &available, std::uint64_t seed) -> std::vector<EntryHost>
 {
-    // A larger generator takes longer to seed than the draw.
-    auto generator = std::minstd_rand(static_cast<std::minstd_rand::result_type>(seed));
+    // A larger generator takes longer to seed than the draw; the hash spreads seeds that lie close together.
+    auto generator = std::minstd_rand(static_cast<std::minstd_rand::result_type>(stableHash("draw", seed)));
     auto drawn = std::vector<EntryHost> {};
     while (!candidates.empty() && drawn.size() < maximumLookupHosts) {
         const auto index = std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(generator);
--- /dev/null
+++ b/tests/platform/outagetest.cpp
@@ -0,0 +1,148 @@
+#include "support/fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace platformtest;
+
+namespace
+{
+
+constexpr auto okStatus = 200;
+constexpr auto unknownKeyStatus = 401;
+
+/** Within which a change must be in force on a host that reaches a peer but not the store; the bound of the sites for a configuration. */
+constexpr auto changeLimit = std::chrono::milliseconds { 2500 };
+
+struct FaultCase
+{
+    std::string title_;
+    StoreFault fault_;
+};
+
+auto countRuns(const Fleet &fleet, const std::string &instance) -> int
+{
+    auto count = 0;
+    for (const auto &[id, run] : fleet.runs()) {
+        count += run.instance_ == instance ? 1 : 0;
+    }
+    return count;
+}
+
+}
+
+// Guards against a host that keeps serving a withdrawn key, or a server that has left, because the store turns just this host away.
+TEST_CASE("a host that the store turns away hears of changes from its peers")
+{
+    const auto cases = std::vector<FaultCase> {
+        { "503", StoreFault::Busy },
+        { "429", StoreFault::RateLimited },
+        { "reset", StoreFault::Reset },
+        { "silent", StoreFault::Silent },
+    };
+    for (const auto &faultCase : cases) {
+        CAPTURE(faultCase.title_);
+        auto fleet = Fleet();
+        auto &host = fleet.hosts().front();
+        fleet.store().setFault(host.storeAddress_, faultCase.fault_);
+        fleet.configure({ "key-free" });
+        CHECK(Fleet::waitFor(
+            [&] {
+                return fleet.call(host, "/read/a").answer_.status_ == unknownKeyStatus;
+            },
+            changeLimit));
+        fleet.configure();
+        CHECK(Fleet::waitFor(
+            [&] {
+                return fleet.call(host, "/read/a").answer_.status_ == okStatus;
+            },
+            changeLimit));
+        const auto &leaving = *fleet.upstreams().front();
+        fleet.upstreams().front()->deregister();
+        std::this_thread::sleep_for(changeLimit);
+        const auto runs = countRuns(fleet, leaving.instance());
+        for (auto number = 0; number < 40; ++number) {
+            CHECK(fleet.call(host, "/read/a").answer_.status_ == okStatus);
+        }
+        CHECK(countRuns(fleet, leaving.instance()) == runs);
+    }
+}
+
+// Guards against hosts that stop serving, or drop all backend servers, while the store is away or has lost its leases.
+TEST_CASE("serving goes on while the store is down and after its leases have run out")
+{
+    auto fleet = Fleet();
+    fleet.store().setFault("", StoreFault::Reset);
+    fleet.store().endLeases();
+    for (const auto &upstream : fleet.upstreams()) {
+        upstream->deregister();
+    }
+    const auto serveFor = [&](std::chrono::milliseconds time) {
+        const auto end = std::chrono::steady_clock::now() + time;
+        auto unserved = 0;
+        while (std::chrono::steady_clock::now() < end) {
+            for (const auto &host : fleet.hosts()) {
+                unserved += fleet.call(host, "/read/a").answer_.status_ == okStatus ? 0 : 1;
+            }
+        }
+        return unserved;
+    };
+    CHECK(serveFor(std::chrono::seconds { 3 }) == 0);
+    fleet.store().setFault("", StoreFault::None);
+    std::this_thread::sleep_for(std::chrono::milliseconds { 1500 });
+    for (const auto &upstream : fleet.upstreams()) {
+        upstream->registerAs("ready");
+    }
+    CHECK(serveFor(std::chrono::seconds { 3 }) == 0);
+    for (const auto &host : fleet.hosts()) {
+        CHECK(Fleet::waitFor(
+            [&] {
+                return fleet.store().contains("lycheecleat/hosts/" + host.name_);
+            },
+            std::chrono::seconds { 5 }));
+    }
+}
+
+// Guards against a host that stays behind after the store has forgotten the changes since its last watch.
+TEST_CASE("changes are found after the store has forgotten its history")
+{
+    auto fleet = Fleet();
+    fleet.store().setFault("", StoreFault::Reset);
+    fleet.configure({ "key-free" });
+    fleet.store().compact();
+    fleet.store().setFault("", StoreFault::None);
+    for (const auto &host : fleet.hosts()) {
+        CHECK(Fleet::waitFor(
+            [&] {
+                return fleet.call(host, "/read/a").answer_.status_ == unknownKeyStatus;
+            },
+            std::chrono::seconds { 4 }));
+    }
+}
+
+// Guards against store calls that grow with the number of hosts.
+TEST_CASE("a few hosts of a region watch the store")
+{
+    auto settings = FleetSettings {};
+    settings.hostsPerZone_ = 6;
+    auto fleet = Fleet(settings);
+    std::this_thread::sleep_for(std::chrono::seconds { 12 });
+    const auto before = fleet.store().calls("kv-watch");
+    constexpr auto changes = 8;
+    for (auto number = 0; number < changes; ++number) {
+        fleet.configure();
+        std::this_thread::sleep_for(std::chrono::milliseconds { 600 });
+    }
+    // Three hosts in each of two regions, one call for each change, and one that was waiting.
+    CHECK(fleet.store().calls("kv-watch") - before <= 6 * (changes + 1));
+    fleet.configure({ "key-free" });
+    for (const auto &host : fleet.hosts()) {
+        CHECK(Fleet::waitFor(
+            [&] {
+                return fleet.call(host, "/read/a").answer_.status_ == unknownKeyStatus;
+            },
+            changeLimit));
+    }
+}
--- /dev/null
+++ b/tests/platform/promisestest.cpp
@@ -0,0 +1,191 @@
+#include "support/fleet.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace platformtest;
+
+namespace
+{
+
+constexpr auto okStatus = 200;
+
+/** Callers that send without pause to hosts in turn until it ends; their calls are kept. */
+class Load
+{
+public:
+    Load(Fleet &fleet, const std::string &path, const std::string &key, int callers)
+    {
+        for (auto caller = 0; caller < callers; ++caller) {
+            threads_.emplace_back([this, &fleet, path, key, caller] {
+                for (auto number = caller; !isStopped_; ++number) {
+                    auto call = fleet.call(fleet.hosts()[static_cast<std::size_t>(number) % fleet.hosts().size()], path, key);
+                    const auto lock = std::lock_guard(mutex_);
+                    calls_.push_back(std::move(call));
+                }
+            });
+        }
+    }
+    ~Load()
+    {
+        stop();
+    }
+    Load(const Load &) = delete;
+    auto operator=(const Load &) -> Load & = delete;
+
+    auto stop() -> std::vector<FleetCall>
+    {
+        isStopped_ = true;
+        for (auto &thread : threads_) {
+            if (thread.joinable()) {
+                thread.join();
+            }
+        }
+        return calls_;
+    }
+
+private:
+    std::atomic<bool> isStopped_ = false;
+    std::mutex mutex_;
+    std::vector<FleetCall> calls_;
+    std::vector<std::thread> threads_;
+};
+
+struct EndingCase
+{
+    std::string title_;
+    UpstreamFault fault_;
+};
+
+}
+
+// Guards against a second run of a request that may run once, and against "not run" for one that has run, whichever way an exchange ends.
+TEST_CASE("requests that may run once run at most once whichever way an exchange ends")
+{
+    const auto cases = std::vector<EndingCase> {
+        { "the answer is lost", UpstreamFault::AnswerLost },
+        { "silence", UpstreamFault::Silent },
+        { "the answer is cut", UpstreamFault::Cut },
+        { "rejected", UpstreamFault::Full },
+    };
+    auto fleet = Fleet();
+    for (const auto &endingCase : cases) {
+        CAPTURE(endingCase.title_);
+        auto once = Load(fleet, "/book/a", "key-free", 3);
+        auto repeatable = Load(fleet, "/read/a", "key-free", 3);
+        std::this_thread::sleep_for(std::chrono::milliseconds { 300 });
+        fleet.upstreams().front()->setFault(endingCase.fault_);
+        std::this_thread::sleep_for(std::chrono::milliseconds { 1500 });
+        fleet.upstreams().front()->setFault(UpstreamFault::None);
+        const auto onceCalls = once.stop();
+        const auto calls = repeatable.stop();
+        const auto runs = fleet.runs();
+        CHECK(findRepeatedRuns(onceCalls, runs) == "");
+        CHECK(findBrokenPromises(onceCalls, runs) == "");
+        CHECK(findBrokenPromises(calls, runs) == "");
+    }
+}
+
+// Guards against a second run or a false "not run" when an entry host dies or is asked to stop while it serves, and against a cut answer at a stop.
+TEST_CASE("promises hold while entry hosts are killed, stopped and restarted")
+{
+    auto fleet = Fleet();
+    auto once = Load(fleet, "/book/a", "key-free", 4);
+    auto &killed = fleet.hosts()[0];
+    auto &stopped = fleet.hosts()[2];
+    std::this_thread::sleep_for(std::chrono::milliseconds { 500 });
+    killed.process_->kill();
+    stopped.process_->terminate();
+    fleet.startHost(killed);
+    CHECK(stopped.process_->waitForExit(std::chrono::seconds { 7 }) == 0);
+    fleet.startHost(stopped);
+    fleet.waitUntilServing();
+    const auto calls = once.stop();
+    const auto runs = fleet.runs();
+    CHECK(findRepeatedRuns(calls, runs) == "");
+    CHECK(findBrokenPromises(calls, runs) == "");
+    CHECK(calls.size() > 100);
+}
+
+namespace
+{
+
+// Most runs of an organisation in any window of the given length.
+auto mostInWindow(const Fleet &fleet, const std::string &tenant, std::chrono::milliseconds window) -> int
+{
+    auto times = std::vector<std::chrono::steady_clock::time_point> {};
+    for (const auto &[id, run] : fleet.runs()) {
+        if (run.tenant_ == tenant) {
+            times.push_back(run.startedAt_);
+        }
+    }
+    std::sort(times.begin(), times.end());
+    auto most = 0;
+    for (auto first = std::size_t { 0 }, last = std::size_t { 0 }; last < times.size(); ++last) {
+        while (times[last] - times[first] >= window) {
+            ++first;
+        }
+        most = std::max(most, static_cast<int>(last - first + 1));
+    }
+    return most;
+}
+
+}
+
+// Guards against more than an organisation's rate and burst over all hosts together while hosts are frozen, killed, restarted and cut off from the store,
+// and against a lowered limit that does not come in force.
+TEST_CASE("an organisation gets no more than its limit over all hosts")
+{
+    constexpr auto window = std::chrono::seconds { 5 };
+    constexpr auto rate = 20.0;
+    constexpr auto burst = 20;
+    constexpr auto overage = 1.1;
+    constexpr auto slack = 20;
+    constexpr auto bound = (rate * 5 + burst) * overage + slack;
+    auto fleet = Fleet();
+    auto load = Load(fleet, "/read/a", "key-limited", 6);
+    auto &hosts = fleet.hosts();
+    std::this_thread::sleep_for(std::chrono::seconds { 5 });
+    hosts[0].process_->freeze();
+    std::this_thread::sleep_for(std::chrono::milliseconds { 1500 });
+    hosts[0].process_->resume();
+    hosts[1].process_->kill();
+    fleet.store().setFault(hosts[2].storeAddress_, StoreFault::Silent);
+    std::this_thread::sleep_for(std::chrono::seconds { 1 });
+    fleet.startHost(hosts[1]);
+    std::this_thread::sleep_for(std::chrono::seconds { 5 });
+    CHECK(mostInWindow(fleet, "limited", window) <= bound);
+    CHECK(mostInWindow(fleet, "limited", window) > 0);
+    fleet.setLimit(4, 4);
+    // In force by the bound of the sites, and from then on counted over a whole window.
+    std::this_thread::sleep_for(std::chrono::milliseconds { 2500 } + window);
+    const auto before = fleet.runs().size();
+    std::this_thread::sleep_for(window);
+    load.stop();
+    CHECK(static_cast<double>(fleet.runs().size() - before) <= (4 * 5 + 4) * overage + slack);
+}
+
+// Guards against a deployment that does not come back when all hosts lose power at once, and against an older configuration afterwards.
+TEST_CASE("everything is back after all hosts are killed at once")
+{
+    auto fleet = Fleet();
+    fleet.configure({ "key-limited" });
+    for (auto &host : fleet.hosts()) {
+        host.process_->kill();
+    }
+    for (auto &host : fleet.hosts()) {
+        fleet.startHost(host);
+    }
+    // The bound of the sites for a recovery.
+    fleet.waitUntilServing(std::chrono::seconds { 15 });
+    for (const auto &host : fleet.hosts()) {
+        CHECK(fleet.call(host, "/read/a").answer_.status_ == okStatus);
+        CHECK(fleet.call(host, "/read/a", "key-limited").answer_.status_ == 401);
+    }
+}
--- /dev/null
+++ b/tests/platform/support/fleet.cpp
@@ -0,0 +1,271 @@
+#include "support/fleet.h"
+
+#include "core/testaddress.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cstdlib>
+#include <exception>
+#include <filesystem>
+#include <stdexcept>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace platformtest
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr auto zones = std::array { "r1-a", "r2-a" };
+constexpr auto callerPort = 8001;
+constexpr auto readyPort = 8002;
+constexpr auto lookupPort = 8003;
+constexpr auto peerPort = 8004;
+constexpr auto firstFreePort = 8010;
+constexpr auto lastFreePort = 8015;
+/** Last parts of the addresses of hosts and backend servers in a zone start here. */
+constexpr auto firstHostIp = 10;
+constexpr auto firstUpstreamIp = 100;
+constexpr auto pollInterval = std::chrono::milliseconds { 20 };
+
+constexpr auto okStatus = 200;
+constexpr auto firstError = 400;
+/** Statuses that say that a request has not run and never will. */
+constexpr auto notRunStatuses = std::array { 408, 421, 429, 503 };
+
+auto makeFolder() -> std::string
+{
+    static auto number = std::atomic<int> { 0 };
+    const auto folder = std::filesystem::temp_directory_path() / fmt::format("lycheecleat-fleet-{}-{}", getpid(), ++number);
+    std::filesystem::create_directories(folder);
+    return folder.string();
+}
+
+auto nextRequestId() -> std::string
+{
+    static auto number = std::atomic<int> { 0 };
+    return fmt::format("r{}-{}", getpid(), ++number);
+}
+
+auto routeJson(const std::string &name, const std::string &prefix, const std::string &kind) -> Json
+{
+    return { { "name", name },
+             { "host", "service.example" },
+             { "prefix", prefix },
+             { "kind", kind },
+             { "timeout", "3000ms" },
+             { "max_attempts", 3 },
+             { "target_latency", "800ms" },
+             { "priority", 1 },
+             { "service", "s" },
+             { "public", false },
+             { "home_regions", Json::array() } };
+}
+
+}
+
+Fleet::Fleet(FleetSettings settings)
+    : settings_(settings)
+    , folder_(makeFolder())
+{
+    configure();
+    auto third = 0;
+    for (const auto *const zone : zones) {
+        ++third;
+        for (auto number = 0; number < settings_.upstreamsPerZone_; ++number) {
+            upstreams_.push_back(
+                std::make_unique<Upstream>(fmt::format("i-{}-{}", zone, number), zone, lycheecleat::testIp(third, firstUpstreamIp + number), store_, log_));
+        }
+        for (auto number = 0; number < settings_.hostsPerZone_; ++number) {
+            const auto ip = lycheecleat::testIp(third, firstHostIp + number);
+            auto host = FleetHost {};
+            host.name_ = fmt::format("host-{}-{}", zone, number);
+            host.zone_ = zone;
+            host.callerAddress_ = fmt::format("{}:{}", ip, callerPort);
+            host.readyAddress_ = fmt::format("{}:{}", ip, readyPort);
+            host.lookupAddress_ = fmt::format("{}:{}", ip, lookupPort);
+            host.storeAddress_ = store_.listen(lycheecleat::testIp(0, firstHostIp + static_cast<int>(hosts_.size())) + ":0");
+            host.settingsFile_ = folder_ + "/" + host.name_ + ".json";
+            hosts_.push_back(std::move(host));
+        }
+    }
+    for (auto &host : hosts_) {
+        writeSettings(host);
+        startHost(host);
+    }
+    waitUntilServing();
+}
+
+Fleet::~Fleet()
+{
+    hosts_.clear();
+    // The folder of a failed test is kept for the search of its cause.
+    if (std::uncaught_exceptions() == 0 && std::getenv("KEEP_TEST_FILES") == nullptr) {
+        std::filesystem::remove_all(folder_);
+    }
+}
+
+auto Fleet::writeSettings(const FleetHost &host) -> void
+{
+    const auto ip = host.callerAddress_.substr(0, host.callerAddress_.find(':'));
+    auto seeds = Json::array();
+    seeds.push_back(fmt::format("{}:{}", lycheecleat::testIp(1, firstHostIp), peerPort));
+    seeds.push_back(fmt::format("{}:{}", lycheecleat::testIp(2, firstHostIp), peerPort));
+    const auto json = Json {
+        { "node", host.name_ },
+        { "ip", ip },
+        { "zone", host.zone_ },
+        { "zones", { { "r1-a", "r1" }, { "r2-a", "r2" } } },
+        { "listen",
+          { { "front", host.callerAddress_ },
+            { "ready", host.readyAddress_ },
+            { "directory", host.lookupAddress_ },
+            { "control", fmt::format("{}:{}", ip, peerPort) } } },
+        { "port_range", { firstFreePort, lastFreePort } },
+        { "seeds", seeds },
+        { "bounds",
+          { { "quota_window", "5s" },
+            { "quota_overage", 0.1 },
+            { "quota_slack", 20 },
+            { "grace", "6s" },
+            { "retry_budget_ratio", 0.2 },
+            { "budget_extra", 100 } } },
+        { "platform", { { "address", host.storeAddress_ } } },
+    };
+    integration::writeText(host.settingsFile_, json.dump());
+}
+
+auto Fleet::store() -> KeyValueServer &
+{
+    return store_;
+}
+
+auto Fleet::hosts() -> std::vector<FleetHost> &
+{
+    return hosts_;
+}
+
+auto Fleet::upstreams() -> std::vector<std::unique_ptr<Upstream>> &
+{
+    return upstreams_;
+}
+
+auto Fleet::runs() const -> std::multimap<std::string, UpstreamRun>
+{
+    return log_.runs();
+}
+
+auto Fleet::startHost(FleetHost &host) -> void
+{
+    const auto command =
+        std::vector<std::string> { "/usr/bin/env", "LYCHEECLEAT_NODE_FILE=" + host.settingsFile_, integration::programPath("lycheecleatd"), "--platform" };
+    host.process_ = std::make_unique<integration::Process>(host.name_, command, folder_);
+}
+
+auto Fleet::configure(const std::vector<std::string> &keysLeftOut) -> void
+{
+    const auto keysOf = [&](const std::string &key) {
+        const auto isLeftOut = std::find(keysLeftOut.begin(), keysLeftOut.end(), key) != keysLeftOut.end();
+        return isLeftOut ? Json::array() : Json::array({ key });
+    };
+    ++version_;
+    const auto json = Json {
+        { "version", version_ },
+        { "routes", Json::array({ routeJson("read", "/read/", "safe"), routeJson("book", "/book/", "unsafe") }) },
+        { "services",
+          Json::array({ Json { { "name", "s" }, { "health_path", "/health" }, { "max_conns", 300 }, { "cold_start", "0ms" }, { "cold_per_s", 9 } } }) },
+        { "limits", Json { { "idle_timeout", "15s" } } },
+        { "tenants",
+          Json::array(
+              { Json { { "name", "free" }, { "api_keys", keysOf("key-free") } },
+                Json { { "name", "limited" }, { "api_keys", keysOf("key-limited") }, { "rate_per_s", settings_.rate_ }, { "burst", settings_.burst_ } } }) },
+    };
+    store_.put("op/config", json.dump());
+}
+
+auto Fleet::setLimit(double rate, int burst) -> void
+{
+    settings_.rate_ = rate;
+    settings_.burst_ = burst;
+    configure();
+}
+
+auto Fleet::call(const FleetHost &host, const std::string &path, const std::string &key, std::chrono::milliseconds timeout) -> FleetCall
+{
+    auto request = integration::CallerRequest {};
+    auto call = FleetCall { nextRequestId(), {} };
+    request.path_ = path;
+    request.timeout_ = timeout;
+    request.headers_ = {
+        { "X-Request-Id", call.id_ }, { "X-Affinity-Key", call.id_ }, { "X-Deadline-Ms", std::to_string(timeout.count()) }, { "X-Credential", key }
+    };
+    call.answer_ = caller_.send(host.callerAddress_, request);
+    return call;
+}
+
+auto Fleet::waitFor(const std::function<bool()> &condition, std::chrono::milliseconds limit) -> bool
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+auto Fleet::waitUntilServing(std::chrono::milliseconds limit) -> void
+{
+    for (auto &host : hosts_) {
+        const auto isServing = [&] {
+            return !host.process_->isRunning() || call(host, "/read/ready").answer_.status_ == okStatus;
+        };
+        if (!waitFor(isServing, limit)) {
+            throw std::runtime_error(host.name_ + " does not serve: " + host.process_->output());
+        }
+    }
+}
+
+auto findBrokenPromises(const std::vector<FleetCall> &calls, const std::multimap<std::string, UpstreamRun> &runs) -> std::string
+{
+    auto found = std::string {};
+    for (const auto &call : calls) {
+        const auto &answer = call.answer_;
+        const auto isNotRun = std::find(notRunStatuses.begin(), notRunStatuses.end(), answer.status_) != notRunStatuses.end();
+        const auto count = runs.count(call.id_);
+        if (isNotRun && count > 0) {
+            found += fmt::format("{} was answered {} and ran {} times\n", call.id_, answer.status_, count);
+        }
+        if (answer.answered_ && answer.status_ < firstError && answer.body_ != "answer to " + call.id_) {
+            found += fmt::format("{} was answered {} with the body '{}'\n", call.id_, answer.status_, answer.body_);
+        }
+    }
+    for (const auto &[id, run] : runs) {
+        if (run.hasCredential_) {
+            found += fmt::format("{} reached {} with the caller's key\n", id, run.instance_);
+        }
+    }
+    return found;
+}
+
+auto findRepeatedRuns(const std::vector<FleetCall> &calls, const std::multimap<std::string, UpstreamRun> &runs) -> std::string
+{
+    auto found = std::string {};
+    for (const auto &call : calls) {
+        const auto count = runs.count(call.id_);
+        if (count > 1) {
+            found += fmt::format("{} ran {} times\n", call.id_, count);
+        }
+    }
+    return found;
+}
+
+}
--- /dev/null
+++ b/tests/platform/support/keyvalueserver.cpp
@@ -0,0 +1,387 @@
+#include "support/keyvalueserver.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace platformtest
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+using standin::HttpAnswer;
+using standin::HttpRequest;
+
+/** Each entry host keeps a few connections. */
+constexpr auto maximumConnections = 200;
+constexpr auto pageItems = 500;
+constexpr auto maximumEntries = 32;
+/** Longer than any host waits for an answer. */
+constexpr auto longestSilence = std::chrono::seconds { 20 };
+constexpr auto pollInterval = std::chrono::milliseconds { 50 };
+
+constexpr auto okStatus = 200;
+constexpr auto forbiddenStatus = 403;
+constexpr auto notFoundStatus = 404;
+constexpr auto goneStatus = 410;
+constexpr auto conflictStatus = 412;
+constexpr auto tooManyStatus = 429;
+constexpr auto unavailableStatus = 503;
+
+auto answerOf(int status, const Json &body) -> HttpAnswer
+{
+    return standin::jsonAnswer(status, body.dump());
+}
+
+auto queryText(const HttpRequest &request, const std::string &name) -> std::string
+{
+    const auto found = request.query_.find(name);
+    return found == request.query_.end() ? std::string {} : found->second;
+}
+
+auto queryNumber(const HttpRequest &request, const std::string &name) -> std::int64_t
+{
+    const auto text = queryText(request, name);
+    return text.empty() ? 0 : std::stoll(text);
+}
+
+auto parseDuration(const std::string &text) -> std::chrono::milliseconds
+{
+    auto duration = absl::Duration {};
+    if (!absl::ParseDuration(text, &duration)) {
+        throw std::runtime_error("not a duration: " + text);
+    }
+    return std::chrono::milliseconds { absl::ToInt64Milliseconds(duration) };
+}
+
+auto droppedAnswer() -> HttpAnswer
+{
+    auto answer = HttpAnswer {};
+    answer.dropped_ = true;
+    return answer;
+}
+
+}
+
+KeyValueServer::~KeyValueServer()
+{
+    {
+        const auto lock = Lock(mutex_);
+        isStopping_ = true;
+    }
+    changed_.notify_all();
+    for (auto &door : doors_) {
+        door.server_->stop();
+    }
+}
+
+auto KeyValueServer::listen(const std::string &address) -> std::string
+{
+    const auto index = doors_.size();
+    auto server = std::make_unique<standin::HttpServer>(
+        [this, index](const HttpRequest &request) {
+            return handle(index, request);
+        },
+        maximumConnections);
+    if (!server->start(address)) {
+        throw std::runtime_error("the store cannot listen on " + address);
+    }
+    const auto bound = server->address();
+    const auto lock = Lock(mutex_);
+    doors_.push_back({ bound, StoreFault::None, std::move(server) });
+    return bound;
+}
+
+auto KeyValueServer::put(const std::string &key, const std::string &value) -> void
+{
+    const auto lock = Lock(mutex_);
+    write(key, value, 0);
+}
+
+auto KeyValueServer::remove(const std::string &key) -> void
+{
+    const auto lock = Lock(mutex_);
+    erase(key);
+}
+
+auto KeyValueServer::contains(const std::string &key) -> bool
+{
+    const auto lock = Lock(mutex_);
+    endExpiredLeases();
+    return items_.count(key) > 0;
+}
+
+auto KeyValueServer::setFault(const std::string &address, StoreFault fault) -> void
+{
+    const auto lock = Lock(mutex_);
+    for (auto &door : doors_) {
+        if (address.empty() || door.address_ == address) {
+            door.fault_ = fault;
+        }
+    }
+    changed_.notify_all();
+}
+
+auto KeyValueServer::compact() -> void
+{
+    const auto lock = Lock(mutex_);
+    history_.clear();
+    historyStart_ = revision_ + 1;
+    changed_.notify_all();
+}
+
+auto KeyValueServer::endLeases() -> void
+{
+    const auto lock = Lock(mutex_);
+    while (!leases_.empty()) {
+        endLease(leases_.begin()->first);
+    }
+}
+
+auto KeyValueServer::setCallsPerSecond(int calls) -> void
+{
+    const auto lock = Lock(mutex_);
+    callsPerSecond_ = calls;
+}
+
+auto KeyValueServer::calls(const std::string &name) -> int
+{
+    const auto lock = Lock(mutex_);
+    return calls_[name];
+}
+
+auto KeyValueServer::handle(std::size_t door, const HttpRequest &request) -> HttpAnswer
+{
+    constexpr auto prefix = std::string_view("/-/");
+    auto lock = Lock(mutex_);
+    const auto call = request.path_.substr(std::min(prefix.size(), request.path_.size()));
+    ++calls_[call.substr(0, call.find('/'))];
+    const auto isWrite = call == "kv-txn" || call == "kv-lease";
+    switch (doors_.at(door).fault_) {
+    case StoreFault::Busy:
+        return answerOf(unavailableStatus, Json::object());
+    case StoreFault::RateLimited:
+        return answerOf(tooManyStatus, Json::object());
+    case StoreFault::Reset:
+        return droppedAnswer();
+    case StoreFault::Silent:
+        changed_.wait_for(lock, longestSilence, [&] {
+            return isStopping_ || standin::isPeerClosed(request.socket_);
+        });
+        return droppedAnswer();
+    case StoreFault::LostAnswers:
+        if (isWrite) {
+            serve(lock, door, call, request);
+            return droppedAnswer();
+        }
+        break;
+    case StoreFault::None:
+        break;
+    }
+    return isWithinRate() ? serve(lock, door, call, request) : answerOf(tooManyStatus, Json::object());
+}
+
+auto KeyValueServer::serve(Lock &lock, std::size_t door, const std::string &call, const HttpRequest &request) -> HttpAnswer
+{
+    endExpiredLeases();
+    if (call == "kv-range") {
+        return range(request);
+    }
+    if (call == "kv-key") {
+        return readKey(request);
+    }
+    if (call == "kv-watch") {
+        return watch(lock, door, request);
+    }
+    return call == "kv-txn" ? transact(request) : changeLease(call, request);
+}
+
+namespace
+{
+
+template<typename Item>
+auto itemJson(const std::string &key, const Item &item) -> Json
+{
+    return {
+        { "key", key }, { "value", absl::Base64Escape(item.value_) }, { "revision", item.revision_ }, { "created", item.created_ }, { "lease", item.lease_ }
+    };
+}
+
+}
+
+auto KeyValueServer::range(const HttpRequest &request) -> HttpAnswer
+{
+    const auto prefix = queryText(request, "prefix");
+    const auto after = queryText(request, "after");
+    auto items = Json::array();
+    auto isTruncated = false;
+    for (auto found = items_.lower_bound(prefix); found != items_.end() && found->first.starts_with(prefix); ++found) {
+        if (!after.empty() && found->first <= after) {
+            continue;
+        }
+        if (items.size() >= pageItems) {
+            isTruncated = true;
+            break;
+        }
+        items.push_back(itemJson(found->first, found->second));
+    }
+    return answerOf(okStatus, { { "items", items }, { "truncated", isTruncated }, { "as_of", revision_ } });
+}
+
+auto KeyValueServer::readKey(const HttpRequest &request) -> HttpAnswer
+{
+    const auto found = items_.find(queryText(request, "key"));
+    if (found == items_.end()) {
+        return answerOf(notFoundStatus, { { "as_of", revision_ } });
+    }
+    auto body = itemJson(found->first, found->second);
+    body["as_of"] = revision_;
+    return answerOf(okStatus, body);
+}
+
+auto KeyValueServer::watch(Lock &lock, std::size_t door, const HttpRequest &request) -> HttpAnswer
+{
+    const auto prefix = queryText(request, "prefix");
+    const auto after = queryNumber(request, "after");
+    const auto deadline = Clock::now() + std::chrono::milliseconds { queryNumber(request, "wait_ms") };
+    while (true) {
+        if (after + 1 < historyStart_) {
+            return answerOf(goneStatus, Json::object());
+        }
+        auto events = Json::array();
+        for (const auto &event : history_) {
+            if (event.revision_ > after && event.key_.starts_with(prefix)) {
+                events.push_back(event.isDeleted_ ? Json { { "key", event.key_ }, { "revision", event.revision_ }, { "deleted", true } }
+                                                  : itemJson(event.key_, event.item_));
+            }
+        }
+        if (!events.empty() || Clock::now() >= deadline) {
+            return answerOf(okStatus, { { "events", events }, { "as_of", revision_ } });
+        }
+        changed_.wait_until(lock, std::min(deadline, Clock::now() + pollInterval));
+        endExpiredLeases();
+        if (isStopping_ || doors_[door].fault_ != StoreFault::None) {
+            return droppedAnswer();
+        }
+    }
+}
+
+auto KeyValueServer::transact(const HttpRequest &request) -> HttpAnswer
+{
+    const auto body = Json::parse(request.body_);
+    const auto puts = body.value("puts", Json::array());
+    const auto removals = body.value("remove", Json::array());
+    const auto expected = body.value("expected_rev", Json::array());
+    if (puts.size() + removals.size() + expected.size() > maximumEntries) {
+        return answerOf(forbiddenStatus, Json::object());
+    }
+    for (const auto &entry : expected) {
+        const auto found = items_.find(entry.at("key").get<std::string>());
+        if ((found == items_.end() ? 0 : found->second.revision_) != entry.at("revision").get<std::int64_t>()) {
+            return answerOf(conflictStatus, { { "items", Json::array() } });
+        }
+    }
+    for (const auto &entry : puts) {
+        const auto key = entry.at("key").get<std::string>();
+        const auto lease = entry.value("lease", std::int64_t { 0 });
+        if (key.starts_with("op/") || key.starts_with("servers/")) {
+            return answerOf(forbiddenStatus, Json::object());
+        }
+        if (lease != 0 && leases_.count(lease) == 0) {
+            return answerOf(notFoundStatus, Json::object());
+        }
+    }
+    for (const auto &entry : puts) {
+        auto value = std::string {};
+        absl::Base64Unescape(entry.at("value").get<std::string>(), &value);
+        write(entry.at("key").get<std::string>(), value, entry.value("lease", std::int64_t { 0 }));
+    }
+    for (const auto &key : removals) {
+        erase(key.get<std::string>());
+    }
+    return answerOf(okStatus, { { "revision", revision_ } });
+}
+
+auto KeyValueServer::changeLease(const std::string &call, const HttpRequest &request) -> HttpAnswer
+{
+    if (call == "kv-lease") {
+        const auto text = Json::parse(request.body_).at("ttl_time").get<std::string>();
+        const auto lifetime = parseDuration(text);
+        leases_[++lastLease_] = { lifetime, Clock::now() + lifetime };
+        return answerOf(okStatus, { { "lease", lastLease_ }, { "ttl_time", text } });
+    }
+    const auto slash = call.find('/');
+    const auto found = slash == std::string::npos ? leases_.end() : leases_.find(std::stoll(call.substr(slash + 1)));
+    if (found == leases_.end()) {
+        return answerOf(notFoundStatus, Json::object());
+    }
+    if (call.starts_with("kv-keep")) {
+        found->second.endsAt_ = Clock::now() + found->second.lifetime_;
+    } else {
+        endLease(found->first);
+    }
+    return answerOf(okStatus, Json::object());
+}
+
+auto KeyValueServer::write(const std::string &key, const std::string &value, std::int64_t lease) -> void
+{
+    ++revision_;
+    auto &item = items_[key];
+    item = { value, revision_, item.created_ == 0 ? revision_ : item.created_, lease };
+    history_.push_back({ key, revision_, false, item });
+    changed_.notify_all();
+}
+
+auto KeyValueServer::erase(const std::string &key) -> void
+{
+    if (items_.erase(key) > 0) {
+        history_.push_back({ key, ++revision_, true, {} });
+        changed_.notify_all();
+    }
+}
+
+auto KeyValueServer::endLease(std::int64_t lease) -> void
+{
+    auto keys = std::vector<std::string> {};
+    for (const auto &[key, item] : items_) {
+        if (item.lease_ == lease) {
+            keys.push_back(key);
+        }
+    }
+    leases_.erase(lease);
+    for (const auto &key : keys) {
+        erase(key);
+    }
+}
+
+auto KeyValueServer::endExpiredLeases() -> void
+{
+    auto ended = std::vector<std::int64_t> {};
+    for (const auto &[number, lease] : leases_) {
+        if (lease.endsAt_ <= Clock::now()) {
+            ended.push_back(number);
+        }
+    }
+    for (const auto number : ended) {
+        endLease(number);
+    }
+}
+
+auto KeyValueServer::isWithinRate() -> bool
+{
+    const auto now = Clock::now();
+    if (now - secondBegan_ >= std::chrono::seconds { 1 }) {
+        secondBegan_ = now;
+        callsInSecond_ = 0;
+    }
+    ++callsInSecond_;
+    return callsPerSecond_ == 0 || callsInSecond_ <= callsPerSecond_;
+}
+
+}
