Leave out servers that stop answering, and let the tool ask a host of the platform

Change: a server with a request in flight and no answer for 1.5 s, or four service times beyond the expected wait, is left out; one long silence without any other answer ejects; a caller that leaves after such a wait counts as silence; after an ejection one request at a time tests the server.

--- a/libraries/connection/administrationclient.cpp
+++ b/libraries/connection/administrationclient.cpp
@@ -50,6 +50,14 @@
     return parseHostStatus(body);
 }
 
+auto fetchExplanation(const AdministrationAddress &daemon, const ExplanationRequest &request) -> Result<std::string>
+{
+    auto client = makeClient(daemon, daemon.timeout_);
+    const auto parameters =
+        httplib::Params { { "host", request.host_ }, { "path", request.path_ }, { "object", request.object_ }, { "organisation", request.organisation_ } };
+    return bodyOf(daemon, client.Get("/v1/explain", parameters, httplib::Headers {}));
+}
+
 auto submitWithdrawal(const AdministrationAddress &daemon, const std::string &keyName) -> Result<WithdrawalStatus>
 {
     auto client = makeClient(daemon, daemon.timeout_ + withdrawalWait);
--- a/libraries/connection/administrationclient.h
+++ b/libraries/connection/administrationclient.h
@@ -26,6 +26,20 @@
 /** Reads a daemon's status. Errors: no answer in time, refused, malformed answer. */
 [[nodiscard]] auto fetchHostStatus(const AdministrationAddress &daemon) -> Result<HostStatus>;
 
+/** Which request a host of a discovered deployment is asked to explain. */
+struct ExplanationRequest
+{
+    std::string host_;
+    std::string path_;
+    std::string object_;
+    std::string organisation_;
+
+    auto operator==(const ExplanationRequest &other) const -> bool = default;
+};
+
+/** Asks a host where a request would go and why; gives the JSON text of its answer. Errors: as above. */
+[[nodiscard]] auto fetchExplanation(const AdministrationAddress &daemon, const ExplanationRequest &request) -> Result<std::string>;
+
 /** Submits the withdrawal of a key to a daemon. Errors: as above; the daemon may then hold the withdrawal. */
 [[nodiscard]] auto submitWithdrawal(const AdministrationAddress &daemon, const std::string &keyName) -> Result<WithdrawalStatus>;
 
--- a/libraries/process/backendconditions.cpp
+++ b/libraries/process/backendconditions.cpp
@@ -49,18 +49,22 @@
     return shards_[backend.hash_ % shardCount];
 }
 
-auto BackendConditions::suitabilityOf(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> Suitability
+auto BackendConditions::stateAt(absl::Time now, const FleetBackend &backend) -> BackendState
 {
-    const auto allowance = isCold(backend, now) ? std::optional(cold(backend)) : std::nullopt;
     auto &shard = shardOf(backend);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    const auto &condition = conditionIn(shard.conditions_, backend);
-    auto suitability = Suitability {};
-    suitability.isEjected_ = isEjected(condition, now);
-    suitability.isFull_ = isFull(condition, now);
-    suitability.isColdFull_ = allowance && !hasColdRoom(condition, now, *allowance);
-    suitability.wait_ = expectedWait(condition, now);
-    return suitability;
+    return stateOf(conditionIn(shard.conditions_, backend), now);
+}
+
+auto BackendConditions::isColdFull(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> bool
+{
+    if (!isCold(backend, now)) {
+        return false;
+    }
+    const auto allowance = cold(backend);
+    auto &shard = shardOf(backend);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    return !hasColdRoom(conditionIn(shard.conditions_, backend), now, allowance);
 }
 
 auto BackendConditions::begin(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> bool
@@ -72,35 +76,33 @@
     if (allowance && !takeColdRequest(condition, now, *allowance)) {
         return false;
     }
-    condition.inFlight_ += 1;
+    noteSend(condition, now);
     return true;
 }
 
 auto BackendConditions::choose(absl::Time now, const ChoiceRequest &request, const ColdAllowanceOf &cold) -> BackendChoice
 {
-    auto leastFull = BackendChoice { nullptr, ChoiceReason::LeastFull, absl::InfiniteDuration(), 0 };
-    auto ejected = BackendChoice { nullptr, ChoiceReason::Ejected, absl::ZeroDuration(), 0 };
+    auto leastFull = BackendChoice { nullptr, ChoiceReason::LeastFull, absl::InfiniteDuration() };
+    auto ejected = BackendChoice { nullptr, ChoiceReason::Ejected };
     for (auto rank = std::size_t { 0 }; rank < request.ranked_.size(); ++rank) {
         const auto *backend = request.ranked_[rank];
-        if (std::find(request.tried_.begin(), request.tried_.end(), backend->registration_.server_.name_) != request.tried_.end()) {
+        const auto isTried = std::find(request.tried_.begin(), request.tried_.end(), backend->registration_.server_.name_) != request.tried_.end();
+        if (isTried || isColdFull(now, *backend, cold)) {
             continue;
         }
-        const auto suitability = suitabilityOf(now, *backend, cold);
-        if (suitability.isColdFull_) {
+        const auto state = stateAt(now, *backend);
+        if (state.isEjected_) {
+            ejected = ejected.backend_ == nullptr ? BackendChoice { backend, ChoiceReason::Ejected, state.wait_, rank } : ejected;
             continue;
         }
-        if (suitability.isEjected_) {
-            ejected = ejected.backend_ == nullptr ? BackendChoice { backend, ChoiceReason::Ejected, suitability.wait_, rank } : ejected;
-            continue;
-        }
-        if (suitability.isFull_) {
-            if (suitability.wait_ < leastFull.wait_) {
-                leastFull = { backend, ChoiceReason::LeastFull, suitability.wait_, rank };
+        if (state.isFull_) {
+            if (state.wait_ < leastFull.wait_) {
+                leastFull = { backend, ChoiceReason::LeastFull, state.wait_, rank };
             }
             continue;
         }
         if (begin(now, *backend, cold)) {
-            return { backend, rank == 0 ? ChoiceReason::First : ChoiceReason::Next, suitability.wait_, rank };
+            return { backend, rank == 0 ? ChoiceReason::First : ChoiceReason::Next, state.wait_, rank };
         }
     }
     if (leastFull.backend_ != nullptr && leastFull.wait_ > request.longestWait_) {
@@ -119,16 +121,14 @@
     auto &shard = shardOf(backend);
     const auto lock = absl::MutexLock(&shard.mutex_);
     auto &condition = conditionIn(shard.conditions_, backend);
-    condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
     noteExchange(condition, now, report);
 }
 
-auto BackendConditions::release(const FleetBackend &backend) -> void
+auto BackendConditions::abandon(absl::Time now, const FleetBackend &backend, absl::Duration duration) -> void
 {
     auto &shard = shardOf(backend);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    auto &condition = conditionIn(shard.conditions_, backend);
-    condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
+    noteAbandoned(conditionIn(shard.conditions_, backend), now, duration);
 }
 
 }
--- a/libraries/process/backendconditions.h
+++ b/libraries/process/backendconditions.h
@@ -67,11 +67,14 @@
      */
     [[nodiscard]] auto choose(absl::Time now, const ChoiceRequest &request, const ColdAllowanceOf &cold) -> BackendChoice;
 
+    /** The condition of a backend server, as far as this host knows. */
+    [[nodiscard]] auto stateAt(absl::Time now, const FleetBackend &backend) -> BackendState;
+
     /** Records how an exchange ended. */
     auto end(absl::Time now, const FleetBackend &backend, const ExchangeReport &report) -> void;
 
-    /** The exchange ended without telling anything about the backend server. */
-    auto release(const FleetBackend &backend) -> void;
+    /** Records that the caller left, a time after the request was sent. */
+    auto abandon(absl::Time now, const FleetBackend &backend, absl::Duration duration) -> void;
 
 private:
     struct Shard
@@ -79,18 +82,11 @@
         mutable absl::Mutex mutex_;
         absl::flat_hash_map<std::string, BackendCondition> conditions_ ABSL_GUARDED_BY(mutex_);
     };
-    /** What makes a backend server less suitable. */
-    struct Suitability
-    {
-        bool isEjected_ = false;
-        bool isFull_ = false;
-        bool isColdFull_ = false;
-        absl::Duration wait_;
-    };
     static constexpr auto shardCount = std::size_t { 16 };
 
     [[nodiscard]] auto shardOf(const FleetBackend &backend) const -> Shard &;
-    [[nodiscard]] auto suitabilityOf(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> Suitability;
+    /** Whether a cold backend server's allowance is used up. */
+    [[nodiscard]] auto isColdFull(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> bool;
     /** Counts the request; false when the cold allowance has been used up meanwhile. */
     [[nodiscard]] auto begin(absl::Time now, const FleetBackend &backend, const ColdAllowanceOf &cold) -> bool;
 
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -40,6 +40,8 @@
 constexpr auto metricsListener = std::size_t { 3 };
 
 constexpr auto metricsPath = "/metrics";
+constexpr auto statusPath = "/v1/status";
+constexpr auto explainPath = "/v1/explain";
 
 constexpr auto okStatus = 200;
 constexpr auto badRequestStatus = 400;
@@ -102,6 +104,11 @@
     return { { status, {}, "" }, false, false };
 }
 
+auto jsonAnswer(const nlohmann::json &json) -> CallerAnswer
+{
+    return { { okStatus, { { "Content-Type", "application/json" } }, json.dump() }, false, false };
+}
+
 }
 
 FleetDaemon::FleetDaemon(FleetDaemonSettings settings, FleetAdapter adapter)
@@ -231,7 +238,7 @@
         return pathOfTarget(request.content_.target_) == adapter_.protocol_.lookupPath_ ? answerLookup(request) : plainAnswer(notFoundStatus);
     }
     if (request.listener_ == metricsListener) {
-        return pathOfTarget(request.content_.target_) == metricsPath ? answerMetrics() : plainAnswer(notFoundStatus);
+        return answerOperator(request);
     }
     auto answer = requests_.handle(request);
     answer.closes_ = answer.closes_ || isLeaving_;
@@ -288,6 +295,43 @@
     return { { okStatus, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.text(values) }, false, false };
 }
 
+auto FleetDaemon::statusFacts() const -> FleetFacts
+{
+    const auto now = monotonicNow();
+    const auto view = state_.view();
+    const auto storeHeardAt = state_.storeHeardAt();
+    auto facts = FleetFacts {};
+    facts.host_ = settings_.name_;
+    facts.zone_ = settings_.zone_;
+    facts.isReady_ = isReady();
+    facts.version_ = view->policy_ ? view->policy_->policy().version_ : 0;
+    facts.revision_ = view->asOf_;
+    if (storeHeardAt != absl::InfinitePast()) {
+        facts.storeAge_ = now - storeHeardAt;
+    }
+    facts.watchesStore_ = gossip_->watchesStore(now);
+    facts.peers_ = gossip_->aliveHosts(now);
+    facts.now_ = now;
+    return facts;
+}
+
+auto FleetDaemon::answerOperator(const ReceivedRequest &request) -> CallerAnswer
+{
+    const auto &target = request.content_.target_;
+    const auto path = pathOfTarget(target);
+    if (path == metricsPath) {
+        return answerMetrics();
+    }
+    if (path == statusPath) {
+        return jsonAnswer(statusOf(statusFacts()));
+    }
+    if (path != explainPath) {
+        return plainAnswer(notFoundStatus);
+    }
+    const auto question = readQuestion(target);
+    return question ? jsonAnswer(explanationJson(requests_.explain(*question))) : plainAnswer(badRequestStatus);
+}
+
 auto FleetDaemon::answerReady() const -> CallerAnswer
 {
     return plainAnswer(isReady() ? okStatus : unavailableStatus);
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -83,6 +83,9 @@
     auto answer(const ReceivedRequest &request) -> CallerAnswer;
     auto terms() const -> FleetTerms;
     auto answerMetrics() const -> CallerAnswer;
+    /** Metrics, status and explanations for operators. */
+    auto answerOperator(const ReceivedRequest &request) -> CallerAnswer;
+    auto statusFacts() const -> FleetFacts;
     auto answerReady() const -> CallerAnswer;
     auto answerLookup(const ReceivedRequest &request) -> CallerAnswer;
     auto isReady() const -> bool;
--- /dev/null
+++ b/libraries/process/fleetreport.cpp
@@ -0,0 +1,76 @@
+#include "process/fleetreport.h"
+
+#include "request/httpfields.h"
+
+#include <absl/strings/str_split.h>
+
+#include <map>
+
+namespace lycheecleat
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+auto millisOrNull(const std::optional<absl::Duration> &duration) -> Json
+{
+    return duration ? Json(absl::ToInt64Milliseconds(*duration)) : Json();
+}
+
+auto backendJson(const ExplainedBackend &backend) -> Json
+{
+    const auto &state = backend.state_;
+    return { { "name", backend.name_ },        { "zone", backend.zone_ },
+             { "weight", backend.weight_ },    { "ejected", state.isEjected_ },
+             { "full", state.isFull_ },        { "expected_wait_ms", absl::ToInt64Milliseconds(state.wait_) },
+             { "in_flight", state.inFlight_ }, { "load_age_ms", millisOrNull(state.loadAge_) } };
+}
+
+}
+
+auto statusOf(const FleetFacts &facts) -> nlohmann::json
+{
+    auto peers = Json::array();
+    for (const auto &peer : facts.peers_) {
+        peers.push_back({ { "name", peer.identity_->name },
+                          { "zone", peer.identity_->zone },
+                          { "revision", peer.recordsAsOf_ },
+                          { "age_ms", absl::ToInt64Milliseconds(facts.now_ - peer.heardAt_) },
+                          { "live", true },
+                          { "reaches_store", peer.reachesStore_ } });
+    }
+    return { { "host", facts.host_ },         { "zone", facts.zone_ },
+             { "ready", facts.isReady_ },     { "version", facts.version_ },
+             { "revision", facts.revision_ }, { "store_age_ms", millisOrNull(facts.storeAge_) },
+             { "peers", std::move(peers) },   { "watches_store", facts.watchesStore_ } };
+}
+
+auto explanationJson(const SteeringExplanation &explanation) -> nlohmann::json
+{
+    auto backends = Json::array();
+    for (const auto &backend : explanation.backends_) {
+        backends.push_back(backendJson(backend));
+    }
+    return { { "refusal", explanation.refusal_ }, { "route", explanation.route_ },       { "service", explanation.service_ },
+             { "version", explanation.version_ }, { "revision", explanation.revision_ }, { "store_age_ms", millisOrNull(explanation.storeAge_) },
+             { "backends", std::move(backends) } };
+}
+
+auto readQuestion(std::string_view target) -> std::optional<SteeringQuestion>
+{
+    auto fields = std::map<std::string, std::string> {};
+    const auto start = target.find('?');
+    const auto query = start == std::string_view::npos ? std::string {} : std::string(target.substr(start + 1));
+    for (const auto part : absl::StrSplit(query, '&', absl::SkipEmpty())) {
+        const auto pair = std::vector<std::string>(absl::StrSplit(part, absl::MaxSplits('=', 1)));
+        fields[pair[0]] = pair.size() > 1 ? percentDecoded(pair[1]) : std::string {};
+    }
+    if (fields["host"].empty() || fields["path"].empty()) {
+        return std::nullopt;
+    }
+    return SteeringQuestion { fields["host"], fields["path"], fields["object"], fields["organisation"] };
+}
+
+}
--- a/libraries/process/steeringhandler.cpp
+++ b/libraries/process/steeringhandler.cpp
@@ -168,6 +168,45 @@
     return refuse(run, Refusal::Overloaded);
 }
 
+auto SteeringHandler::explain(const SteeringQuestion &question) -> SteeringExplanation
+{
+    const auto now = monotonicNow();
+    const auto view = services_.state_->view();
+    const auto storeHeardAt = services_.state_->storeHeardAt();
+    auto explanation = SteeringExplanation {};
+    explanation.revision_ = view->asOf_;
+    if (storeHeardAt != absl::InfinitePast()) {
+        explanation.storeAge_ = now - storeHeardAt;
+    }
+    if (!view->policy_) {
+        explanation.refusal_ = describeRefusal(Refusal::NoConfiguration).name_;
+        return explanation;
+    }
+    explanation.version_ = view->policy_->policy().version_;
+    const auto received = ReceivedRequest { {}, now, -1, 0 };
+    auto run = Run { received, {}, view, view->policy_ };
+    run.route_ = run.policy_->findRoute(question.host_, pathOfTarget(question.path_));
+    if (run.route_ == nullptr) {
+        explanation.refusal_ = describeRefusal(Refusal::NoRoute).name_;
+        return explanation;
+    }
+    for (const auto &organisation : run.policy_->policy().organisations_) {
+        run.organisation_ = organisation.limits_.name_ == question.organisation_ ? &organisation : run.organisation_;
+    }
+    chooseTarget(run, question.object_);
+    explanation.route_ = run.route_->name_;
+    explanation.service_ = run.service_;
+    const auto candidateBackends = candidates(run, *view);
+    for (const auto *backend : rankBackends(run.object_, candidateBackends)) {
+        const auto &server = backend->registration_.server_;
+        explanation.backends_.push_back({ server.name_, server.zone_, backend->weight_, conditions_.stateAt(now, *backend) });
+    }
+    if (explanation.backends_.empty()) {
+        explanation.refusal_ = describeRefusal(Refusal::NoCapacity).name_;
+    }
+    return explanation;
+}
+
 auto SteeringHandler::admitRun(Run &run) -> std::optional<Refusal>
 {
     if (!run.policy_) {
@@ -234,12 +273,16 @@
 
 auto SteeringHandler::chooseService(Run &run) -> void
 {
-    const auto object = headerValue(run.content_.headers_, services_.protocol_.object_);
+    chooseTarget(run, headerValue(run.content_.headers_, services_.protocol_.object_));
+    retries_.countRequest(run.service_, retryBudgetOf(services_.terms_()));
+}
+
+auto SteeringHandler::chooseTarget(Run &run, const std::string &object) -> void
+{
     // Requests that name no object are spread by their identifier.
     const auto &basis = object.empty() ? run.id_ : object;
     run.service_ = chooseDestination(run.route_->destinations_, objectHash("", run.route_->name_, basis)).service_;
     run.object_ = objectHash(run.service_, run.route_->name_, basis);
-    retries_.countRequest(run.service_, retryBudgetOf(services_.terms_()));
 }
 
 auto SteeringHandler::allowedRegions(const Run &run, const std::string &region) const -> bool
@@ -314,10 +357,10 @@
     call.repeatable_ = run.route_->repeatability_ == Repeatability::Repeatable;
     call.organisation_ = run.organisation_ == nullptr ? std::string {} : run.organisation_->limits_.name_;
     call.callerSocket_ = call.repeatable_ ? run.received_.socket_ : -1;
-    call.expectedInstance_ = server.name_;
-    call.requestId_ = run.id_;
     run.tried_.push_back(server.name_);
     run.sentAt_ = monotonicNow();
+    call.expectedInstance_ = server.name_;
+    call.requestId_ = run.id_;
     return pool_.exchange(call, run.content_);
 }
 
@@ -339,12 +382,12 @@
     }
     run.mayHaveRun_ = true;
     if (exchange.status_ == ExchangeStatus::Abandoned) {
-        conditions_.release(backend);
+        conditions_.abandon(now, backend, now - run.sentAt_);
         run.isAbandoned_ = true;
         return true;
     }
     const auto isSilent = exchange.status_ == ExchangeStatus::TimedOut || exchange.status_ == ExchangeStatus::Silent;
-    conditions_.end(now, backend, { isSilent ? BackendSign::Silent : BackendSign::Broken });
+    conditions_.end(now, backend, { isSilent ? BackendSign::Silent : BackendSign::Broken, std::nullopt, now - run.sentAt_ });
     if (isSilent) {
         // What made this connection silent may have done the same to the idle ones.
         pool_.closeIdle(backend.registration_.server_.address_);
--- a/libraries/process/steeringhandler.h
+++ b/libraries/process/steeringhandler.h
@@ -4,6 +4,7 @@
 #include "connection/backendpool.h"
 #include "process/backendconditions.h"
 #include "process/callerserver.h"
+#include "process/fleetreport.h"
 #include "process/fleetstate.h"
 #include "process/fleetterms.h"
 #include "process/hosttable.h"
@@ -55,6 +56,9 @@
     /** Refuses one request, as not run, because this host serves too many. */
     [[nodiscard]] auto refuseOverloaded(const ReceivedRequest &request) -> CallerAnswer;
 
+    /** Says where a request would go, without sending it. */
+    [[nodiscard]] auto explain(const SteeringQuestion &question) -> SteeringExplanation;
+
     /** Crash records to tell peers, and those heard from them. */
     [[nodiscard]] auto crashes(absl::Time now) const -> std::vector<CrashRecord>;
     auto addCrash(absl::Time now, const CrashRecord &record) -> void;
@@ -68,6 +72,8 @@
     auto admitRun(Run &run) -> std::optional<Refusal>;
     auto identify(Run &run) -> std::optional<Refusal>;
     auto chooseService(Run &run) -> void;
+    /** The service and the place of the object in its rankings. */
+    static auto chooseTarget(Run &run, const std::string &object) -> void;
     auto send(Run &run) -> CallerAnswer;
     auto chooseBackend(Run &run) -> bool;
     auto exchangeOnce(Run &run) -> BackendExchange;
--- a/libraries/request/backendcondition.cpp
+++ b/libraries/request/backendcondition.cpp
@@ -43,8 +43,15 @@
 /** Requests a second for each host that sends to a cold backend server, as far as its tolerance allows. */
 constexpr auto coldRequestsPerHost = 2.0;
 
+/** A request waits this many service times beyond the expected wait until the backend server counts as stalled. */
+constexpr auto stallServiceTimes = 4.0;
+
+/** Shortest time until a stall, for servers whose service time is short or not known. */
+constexpr auto shortestStall = absl::Milliseconds(1500);
+
 auto eject(BackendCondition &condition, absl::Time now) -> void
 {
+    condition.isOnTrial_ = true;
     condition.ejection_ = std::clamp(condition.ejection_ * 2, firstEjection, longestEjection);
     condition.ejectedUntil_ = now + condition.ejection_;
 }
@@ -66,6 +73,12 @@
     condition.serviceTime_ += (worked - condition.serviceTime_) * (condition.serviceTime_ == absl::ZeroDuration() ? 1.0 : durationWeight);
 }
 
+// Whether the backend server has answered within the last time; the begin of a busy spell does not count.
+auto hasAnsweredWithin(const BackendCondition &condition, absl::Time now, absl::Duration time) -> bool
+{
+    return now - condition.progressAt_ < time;
+}
+
 auto recentColdSends(const BackendCondition &condition, absl::Time now) -> int
 {
     return static_cast<int>(std::count_if(condition.coldSends_.begin(), condition.coldSends_.end(), [&](absl::Time sentAt) {
@@ -75,14 +88,34 @@
 
 }
 
+auto noteSend(BackendCondition &condition, absl::Time now) -> void
+{
+    if (condition.inFlight_ == 0) {
+        condition.progressAt_ = now;
+    }
+    condition.inFlight_ += 1;
+}
+
+auto noteAbandoned(BackendCondition &condition, absl::Time now, absl::Duration duration) -> void
+{
+    if (duration > stallTime(condition, now) && !hasAnsweredWithin(condition, now, duration)) {
+        noteExchange(condition, now, { BackendSign::Silent, std::nullopt, duration });
+        return;
+    }
+    condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
+}
+
 auto noteExchange(BackendCondition &condition, absl::Time now, const ExchangeReport &report) -> void
 {
+    condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
     if (report.load_) {
         condition.load_ = *report.load_;
         condition.loadAt_ = now;
     }
     switch (report.sign_) {
     case BackendSign::Answered:
+        condition.progressAt_ = now;
+        condition.isOnTrial_ = false;
         noteDuration(condition, report.duration_);
         condition.failureShare_ -= failureWeight * condition.failureShare_;
         condition.consecutiveFailures_ = 0;
@@ -91,6 +124,8 @@
         }
         return;
     case BackendSign::Full:
+        condition.progressAt_ = now;
+        condition.isOnTrial_ = false;
         condition.fullUntil_ = now + fullTime;
         condition.consecutiveFailures_ = 0;
         return;
@@ -98,16 +133,38 @@
         noteFailure(condition, now, true);
         return;
     case BackendSign::Failed:
+        condition.progressAt_ = now;
+        noteFailure(condition, now, false);
+        return;
     case BackendSign::Broken:
-    case BackendSign::Silent:
         noteFailure(condition, now, false);
         return;
+    case BackendSign::Silent:
+        // A sound server loses single answers, but answers other requests meanwhile.
+        noteFailure(condition, now, report.duration_ > stallTime(condition, now) && !hasAnsweredWithin(condition, now, report.duration_));
+        return;
     }
 }
 
 auto isEjected(const BackendCondition &condition, absl::Time now) -> bool
 {
-    return now < condition.ejectedUntil_;
+    const auto isTested = condition.isOnTrial_ && condition.inFlight_ > 0;
+    const auto isStalled = condition.inFlight_ > 0 && now - condition.progressAt_ > stallTime(condition, now);
+    return now < condition.ejectedUntil_ || isTested || isStalled;
+}
+
+auto stallTime(const BackendCondition &condition, absl::Time now) -> absl::Duration
+{
+    return std::max(shortestStall, condition.serviceTime_ * stallServiceTimes + expectedWait(condition, now));
+}
+
+auto stateOf(const BackendCondition &condition, absl::Time now) -> BackendState
+{
+    auto state = BackendState { isEjected(condition, now), isFull(condition, now), expectedWait(condition, now), condition.inFlight_ };
+    if (condition.loadAt_ != absl::InfinitePast()) {
+        state.loadAge_ = now - condition.loadAt_;
+    }
+    return state;
 }
 
 auto isFull(const BackendCondition &condition, absl::Time now) -> bool
--- a/libraries/request/backendcondition.h
+++ b/libraries/request/backendcondition.h
@@ -42,7 +42,12 @@
 {
     /** Start of the process that the condition is about. */
     std::int64_t incarnation_ = 0;
+    /** Requests that this host has sent and that have not ended. */
     int inFlight_ = 0;
+    /** When it last answered, or when requests were first in flight after a time without any. */
+    absl::Time progressAt_ = absl::InfinitePast();
+    /** It was ejected and has not answered since, so that one request at a time tests it. */
+    bool isOnTrial_ = false;
     /** Moving average of the time for which the backend server works on a request, without its wait. */
     absl::Duration serviceTime_;
     LoadReport load_;
@@ -57,25 +62,52 @@
     std::deque<absl::Time> coldSends_;
 };
 
+/** What makes a backend server less suitable for a request. */
+struct BackendState
+{
+    bool isEjected_ = false;
+    bool isFull_ = false;
+    /** How long a request would wait there before it runs. */
+    absl::Duration wait_ = absl::ZeroDuration();
+    int inFlight_ = 0;
+    /** Age of its last load report; absent when there is none. */
+    std::optional<absl::Duration> loadAge_ = std::nullopt;
+};
+
 /** How an exchange ended. */
 struct ExchangeReport
 {
     BackendSign sign_ = BackendSign::Answered;
     /** The load that the backend server reported with its answer. */
     std::optional<LoadReport> load_ = std::nullopt;
-    /** From sending the request to the answer. */
+    /** From sending the request to the end of the exchange. */
     absl::Duration duration_ = absl::ZeroDuration();
 };
 
-/** The condition after an exchange. */
+/** A request is sent. */
+auto noteSend(BackendCondition &condition, absl::Time now) -> void;
+
+/** An exchange ends. */
 auto noteExchange(BackendCondition &condition, absl::Time now, const ExchangeReport &report) -> void;
 
-/** Whether the backend server is left out because of its failures. */
+/** The caller of a request left; a long wait without any answer of the backend server counts as silence. */
+auto noteAbandoned(BackendCondition &condition, absl::Time now, absl::Duration duration) -> void;
+
+/** How long a request waits without any answer of the backend server until that counts as a stall. */
+[[nodiscard]] auto stallTime(const BackendCondition &condition, absl::Time now) -> absl::Duration;
+
+/**
+ * Whether the backend server is left out: ejected because of its failures, tested after that by a request that has not ended, or stalled, which is
+ * noticed before its requests time out.
+ */
 [[nodiscard]] auto isEjected(const BackendCondition &condition, absl::Time now) -> bool;
 
 /** Whether a request would have to wait at the backend server. */
 [[nodiscard]] auto isFull(const BackendCondition &condition, absl::Time now) -> bool;
 
+/** The condition at a time. */
+[[nodiscard]] auto stateOf(const BackendCondition &condition, absl::Time now) -> BackendState;
+
 /** How long a request would wait at the backend server before it runs, from its last report, which counts for less as it grows older. */
 [[nodiscard]] auto expectedWait(const BackendCondition &condition, absl::Time now) -> absl::Duration;
 
--- a/libraries/request/backendconditiontest.cpp
+++ b/libraries/request/backendconditiontest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -57,6 +58,81 @@
     }
 }
 
+namespace
+{
+
+struct SilenceCase
+{
+    std::string title_;
+    absl::Duration waited_;
+    /** How long before the end of the wait the server answered another request; none: not at all. */
+    std::optional<absl::Duration> answeredBefore_;
+    bool isEjected_;
+};
+
+}
+
+// Guards against a silent server that is noticed only after several requests have waited for their whole time (incidents ab78 and 0a93), and against
+// leaving out a sound server that has lost one answer.
+TEST_CASE("one long silence without any other answer ejects a backend server")
+{
+    const auto cases = std::vector<SilenceCase> {
+        { "silent for the whole wait", absl::Milliseconds(2500), std::nullopt, true },
+        { "answered another request meanwhile", absl::Milliseconds(2500), absl::Milliseconds(500), false },
+        { "a short wait tells little", absl::Milliseconds(600), std::nullopt, false },
+    };
+    for (const auto &silenceCase : cases) {
+        for (const auto hasLeft : { false, true }) {
+            CAPTURE(silenceCase.title_);
+            CAPTURE(hasLeft);
+            auto condition = BackendCondition {};
+            const auto end = start + silenceCase.waited_;
+            noteSend(condition, start);
+            if (silenceCase.answeredBefore_) {
+                noteSend(condition, start);
+                noteExchange(condition, end - *silenceCase.answeredBefore_, { BackendSign::Answered, std::nullopt, absl::Milliseconds(400) });
+            }
+            if (hasLeft) {
+                noteAbandoned(condition, end, silenceCase.waited_);
+            } else {
+                noteExchange(condition, end, { BackendSign::Silent, std::nullopt, silenceCase.waited_ });
+            }
+            CHECK(condition.inFlight_ == 0);
+            CHECK(isEjected(condition, end) == silenceCase.isEjected_);
+        }
+    }
+}
+
+// Guards against further requests to a server that has stopped answering, before the first of them times out.
+TEST_CASE("a backend server with a request in flight and no answer for long is left out")
+{
+    auto condition = BackendCondition {};
+    noteSend(condition, start);
+    CHECK_FALSE(isEjected(condition, start + absl::Milliseconds(1400)));
+    CHECK(isEjected(condition, start + absl::Milliseconds(1600)));
+    noteExchange(condition, start + absl::Milliseconds(1200), { BackendSign::Answered, std::nullopt, absl::Milliseconds(1200) });
+    CHECK_FALSE(isEjected(condition, start + absl::Milliseconds(1200)));
+    // A server that takes long as a rule gets more time.
+    noteSend(condition, start + absl::Seconds(2));
+    CHECK_FALSE(isEjected(condition, start + absl::Seconds(5)));
+    CHECK(isEjected(condition, start + absl::Seconds(7)));
+}
+
+// Guards against a burst of requests to a dead server each time its ejection ends.
+TEST_CASE("one request at a time tests a backend server after its ejection")
+{
+    auto condition = BackendCondition {};
+    noteSend(condition, start);
+    noteExchange(condition, start, { BackendSign::Unreachable });
+    const auto later = start + absl::Seconds(1);
+    CHECK_FALSE(isEjected(condition, later));
+    noteSend(condition, later);
+    CHECK(isEjected(condition, later));
+    noteExchange(condition, later, { BackendSign::Answered, std::nullopt, absl::Milliseconds(300) });
+    noteSend(condition, later);
+    CHECK_FALSE(isEjected(condition, later));
+}
+
 // Guards against acting on a load report that has become old, and against leaving an object's server for a short queue.
 TEST_CASE("a reported queue makes a backend server full while the wait there is long")
 {
--- /dev/null
+++ b/tests/platform/operatortest.cpp
@@ -0,0 +1,66 @@
+#include "support/fleet.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace platformtest;
+
+namespace
+{
+
+constexpr auto toolLimit = std::chrono::seconds { 10 };
+constexpr auto metricsPort = ":9464";
+
+auto runTool(const FleetHost &host, std::vector<std::string> arguments) -> integration::ProgramResult
+{
+    const auto ip = host.callerAddress_.substr(0, host.callerAddress_.find(':'));
+    arguments.insert(arguments.begin(), integration::programPath("lycheecleat"));
+    arguments.insert(arguments.end(), { "--admin", ip + metricsPort, "--json" });
+    return integration::runProgram("lycheecleat", arguments, "/tmp", toolLimit);
+}
+
+struct ToolCase
+{
+    std::string title_;
+    std::vector<std::string> arguments_;
+    /** Pointers into the answer and what they hold. */
+    std::vector<std::pair<std::string, nlohmann::json>> expected_;
+};
+
+}
+
+// Guards against a tool that works against declared deployments only.
+TEST_CASE("the tool shows the status of a host and explains where it would send a request")
+{
+    auto fleet = Fleet();
+    const auto &host = fleet.hosts().front();
+    REQUIRE(Fleet::waitFor(
+        [&] {
+            const auto status = nlohmann::json::parse(runTool(host, { "status" }).output_, nullptr, false);
+            return status.is_object() && status.at("hosts").at(0).at("peers").size() == 3;
+        },
+        std::chrono::seconds { 10 }));
+    const auto read = std::vector<std::string> { "explain", "--host", "service.example", "--path", "/read/a", "--object", "7" };
+    const auto cases = std::vector<ToolCase> {
+        { "status", { "status" }, { { "/hosts/0/host", host.name_ }, { "/hosts/0/zone", host.zone_ } } },
+        { "a request", read, { { "/route", "read" }, { "/service", "s" }, { "/refusal", "" }, { "/backends/0/ejected", false } } },
+        { "no route", { "explain", "--host", "service.example", "--path", "/other/" }, { { "/refusal", "no_route" } } },
+    };
+    for (const auto &toolCase : cases) {
+        CAPTURE(toolCase.title_);
+        const auto result = runTool(host, toolCase.arguments_);
+        CAPTURE(result.errorOutput_);
+        CHECK(result.exitCode_ == 0);
+        const auto json = nlohmann::json::parse(result.output_, nullptr, false);
+        for (const auto &[pointer, value] : toolCase.expected_) {
+            CAPTURE(pointer);
+            CHECK(json.value(nlohmann::json::json_pointer(pointer), nlohmann::json()) == value);
+        }
+    }
+    const auto explained = nlohmann::json::parse(runTool(host, { "explain", "--host", "service.example", "--path", "/read/a", "--object", "x" }).output_);
+    CHECK(explained.at("backends").size() == 4);
+    CHECK(explained.at("version") == 1);
+}
--- a/utilities/lycheecleat/explaincommand.cpp
+++ b/utilities/lycheecleat/explaincommand.cpp
@@ -5,6 +5,8 @@
 #include "version/explanation.h"
 #include "version/rulefolder.h"
 
+#include <fmt/format.h>
+
 namespace lycheecleat
 {
 
@@ -39,10 +41,57 @@
              { "zones", zones } };
 }
 
+constexpr auto row = "{:<24} {:<16} {:>8} {:>8} {:>6} {:>10} {:>10}\n";
+
+auto hostExplanationText(const nlohmann::json &json) -> std::string
+{
+    const auto refusal = json.at("refusal").get<std::string>();
+    auto text = fmt::format("route {}, service {}, version {}, revision {}, store heard {} ms ago\n",
+                            json.at("route").get<std::string>(),
+                            json.at("service").get<std::string>(),
+                            json.at("version").dump(),
+                            json.at("revision").dump(),
+                            json.at("store_age_ms").dump());
+    if (!refusal.empty()) {
+        return text + fmt::format("refused: {}\n", refusal);
+    }
+    text += fmt::format(row, "backend, in order", "zone", "weight", "ejected", "full", "wait ms", "in flight");
+    for (const auto &backend : json.at("backends")) {
+        text += fmt::format(row,
+                            backend.at("name").get<std::string>(),
+                            backend.at("zone").get<std::string>(),
+                            fmt::format("{:.4f}", backend.at("weight").get<double>()),
+                            backend.at("ejected").dump(),
+                            backend.at("full").dump(),
+                            backend.at("expected_wait_ms").dump(),
+                            backend.at("in_flight").dump());
+    }
+    return text;
+}
+
+// A host of a discovered deployment knows what no rule folder says: which backend servers there are, and their condition.
+auto explainByHost(const Arguments &arguments) -> Result<Report>
+{
+    BOOST_LEAF_AUTO(daemons, daemonsOf(arguments));
+    const auto &daemon = daemons.front();
+    const auto request =
+        ExplanationRequest { textOf(arguments, "--host"), textOf(arguments, "--path"), textOf(arguments, "--object"), textOf(arguments, "--organisation") };
+    BOOST_LEAF_AUTO(body, fetchExplanation(daemon, request));
+    try {
+        const auto json = nlohmann::json::parse(body);
+        return Report { ExitCode::Success, hostExplanationText(json), json };
+    } catch (const nlohmann::json::exception &exception) {
+        return makeError("parse explanation", daemon.address_, exception.what());
+    }
+}
+
 }
 
 auto runExplain(const Arguments &arguments) -> Result<Report>
 {
+    if (!listOf(arguments, "--admin").empty()) {
+        return explainByHost(arguments);
+    }
     BOOST_LEAF_AUTO(files, readFiles(arguments));
     const auto checked = checkRules(files);
     if (!checked.problems_.empty()) {
--- a/utilities/lycheecleat/main.cpp
+++ b/utilities/lycheecleat/main.cpp
@@ -22,6 +22,7 @@
   lycheecleat pull DIR --store ADDR [--json]
   lycheecleat diff DIR [--store ADDR] [--json]
   lycheecleat explain (--folder DIR | --store ADDR) --host HOST --path PATH [--method METHOD] [--json]
+  lycheecleat explain --admin ADDR --host HOST --path PATH [--object OBJECT] [--organisation NAME] [--operator-key-file FILE] [--json]
   lycheecleat status --admin ADDR [--admin ADDR]... [--operator-key-file FILE] [--json]
   lycheecleat drain TARGET --store ADDR [--undo] [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
   lycheecleat shift NAME --undo --store ADDR [--admin ADDR]... [--operator-key-file FILE] [--wait DURATION] [--json]
@@ -42,6 +43,8 @@
   --host HOST               Host header of a request.
   --path PATH               Path of a request.
   --method METHOD           Method of a request. [default: GET]
+  --object OBJECT           What the request is about, which decides its backend server.
+  --organisation NAME       Organisation that sends the request.
   --pool POOL               Pool whose requests a shift moves.
   --from REGION             Region whose requests a shift moves.
   --to REGION               Region whose backend servers take them.
