--- a/libraries/fleet.thrift
+++ b/libraries/fleet.thrift
@@ -36,22 +36,6 @@
     3: i32 ageMillis;
 }
 
-/** Asks for admissions of an organisation. */
-struct QuotaRequest {
-    /** Stable hash of the organisation's name. */
-    1: i64 organisation;
-    2: i32 wanted;
-    /** The borrower's clock in microseconds, which the grant repeats. */
-    3: i64 askedAtMicros;
-}
-
-/** Admissions that the sender gives up. */
-struct QuotaGrant {
-    1: i64 organisation;
-    2: i32 admissions;
-    3: i64 askedAtMicros;
-}
-
 /** The datagram that hosts send each other. */
 struct Gossip {
     1: HostIdentity sender;
@@ -59,8 +43,6 @@
     2: i64 recordsAsOf;
     3: list<Heartbeat> heartbeats;
     4: list<CrashSighting> crashes;
-    5: optional list<QuotaRequest> quotaRequests;
-    6: optional list<QuotaGrant> quotaGrants;
 }
 
 struct Record {
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -118,7 +118,6 @@
     , identity_(identityOf(settings_))
     , state_(settings_.zones_, settings_.zone_, adapter_.decoders_)
     , requests_(SteeringServices { settings_.name_,
-                                   monotonicNow(),
                                    adapter_.protocol_,
                                    [this] {
                                        return terms();
@@ -127,9 +126,6 @@
                                    [this](absl::Time now) {
                                        return gossip_->shareHolders(now);
                                    },
-                                   [this](absl::Time now, const LoanRequest &request) {
-                                       gossip_->askForLoan(now, request);
-                                   },
                                    [this] {
                                        return isStopping_.load();
                                    },
@@ -160,12 +156,6 @@
                                                             [this](absl::Time now, const CrashRecord &record) {
                                                                 requests_.addCrash(now, record);
                                                             },
-                                                            [this](absl::Time now, const LoanRequest &request) {
-                                                                return requests_.lend(now, request);
-                                                            },
-                                                            [this](absl::Time now, const LoanGrant &grant) {
-                                                                requests_.takeLoan(now, grant);
-                                                            },
                                                             [this](const NewerPeer &peer) {
                                                                 follower_->hearOf(peer);
                                                             } }))
--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -36,9 +36,6 @@
 /** Of these, how many are in other zones of the region; traffic between zones is priced. */
 constexpr auto announceElsewhere = std::size_t { 1 };
 
-/** Hosts that are asked for a loan at once. */
-constexpr auto loanPeers = std::size_t { 3 };
-
 auto zonesOfRegion(const ZoneRegions &zones, const std::string &zone) -> std::vector<std::string>
 {
     auto found = std::vector<std::string> {};
@@ -182,11 +179,6 @@
 }
 
 auto HostGossip::message(absl::Time now, Scope scope) -> std::string
-{
-    return encodeGossip(compose(now, scope));
-}
-
-auto HostGossip::compose(absl::Time now, Scope scope) -> fleet::Gossip
 {
     auto gossip = fleet::Gossip {};
     gossip.recordsAsOf = services_.state_->asOf();
@@ -198,7 +190,7 @@
     if (scope != Scope::None) {
         gossip.heartbeats = table_.heartbeats(now, scope == Scope::Region ? regionZones_ : std::vector<std::string> {});
     }
-    return gossip;
+    return encodeGossip(gossip);
 }
 
 auto HostGossip::send(const std::string &address, const std::string &data) -> void
@@ -222,7 +214,6 @@
     for (const auto &sighting : gossip->crashes) {
         services_.hearCrash_(now, { sighting.fingerprint, sighting.backends, now - absl::Milliseconds(sighting.ageMillis) });
     }
-    hearQuotas(now, *gossip);
     const auto asOf = services_.state_->asOf();
     if (gossip->recordsAsOf > asOf) {
         services_.newerPeer_({ gossip->sender.peerAddress, gossip->recordsAsOf });
@@ -232,53 +223,6 @@
     }
 }
 
-auto HostGossip::hearQuotas(absl::Time now, const fleet::Gossip &gossip) -> void
-{
-    auto grants = std::vector<fleet::QuotaGrant> {};
-    for (const auto &request : gossip.quotaRequests) {
-        const auto grant =
-            services_.lend_(now, { static_cast<std::uint64_t>(request.organisation), request.wanted, absl::FromUnixMicros(request.askedAtMicros) });
-        if (grant.admissions_ > 0) {
-            auto &added = grants.emplace_back();
-            added.organisation = request.organisation;
-            added.admissions = static_cast<std::int32_t>(grant.admissions_);
-            added.askedAtMicros = request.askedAtMicros;
-        }
-    }
-    const auto lender = static_cast<std::uint64_t>(static_cast<std::uint32_t>(hostHash(gossip.sender.name)));
-    for (const auto &grant : gossip.quotaGrants) {
-        services_.takeLoan_(now, { static_cast<std::uint64_t>(grant.organisation), grant.admissions, absl::FromUnixMicros(grant.askedAtMicros), lender });
-    }
-    if (!grants.empty()) {
-        auto answer = compose(now, Scope::None);
-        answer.__set_quotaGrants(grants);
-        send(gossip.sender.gossipAddress, encodeGossip(answer));
-    }
-}
-
-auto HostGossip::askForLoan(absl::Time now, const LoanRequest &request) -> void
-{
-    auto targets = std::vector<std::string> {};
-    {
-        const auto lock = absl::MutexLock(&mutex_);
-        for (const auto &host : table_.alive(now)) {
-            targets.push_back(host.identity_->gossipAddress);
-        }
-        std::shuffle(targets.begin(), targets.end(), random_);
-    }
-    targets.resize(std::min(targets.size(), loanPeers));
-    auto asked = fleet::QuotaRequest {};
-    asked.organisation = static_cast<std::int64_t>(request.organisation_);
-    asked.wanted = static_cast<std::int32_t>(request.wanted_);
-    asked.askedAtMicros = absl::ToUnixMicros(request.askedAt_);
-    auto gossip = compose(now, Scope::None);
-    gossip.__set_quotaRequests({ asked });
-    const auto data = encodeGossip(gossip);
-    for (const auto &target : targets) {
-        send(target, data);
-    }
-}
-
 auto HostGossip::announce(absl::Time now) -> void
 {
     auto targets = std::vector<std::string> {};
--- a/libraries/process/hostgossip.h
+++ b/libraries/process/hostgossip.h
@@ -6,7 +6,6 @@
 #include "process/fleetstate.h"
 #include "process/hosttable.h"
 #include "request/crashguard.h"
-#include "request/quotaaccount.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
@@ -43,9 +42,6 @@
     /** Crash records to pass on, and those heard. */
     std::function<std::vector<CrashRecord>(absl::Time)> crashes_;
     std::function<void(absl::Time, const CrashRecord &)> hearCrash_;
-    /** Lends to another host; a grant without admissions when there are none to spare. */
-    std::function<LoanGrant(absl::Time, const LoanRequest &)> lend_;
-    std::function<void(absl::Time, const LoanGrant &)> takeLoan_;
     /** Called when a peer's records are newer. */
     std::function<void(const NewerPeer &)> newerPeer_;
 };
@@ -69,9 +65,6 @@
     /** Tells a few other hosts of the region that this host has new records, so that they fetch them and tell others. */
     auto announceRecords(absl::Time now) -> void;
 
-    /** Asks a few hosts for admissions of an organisation. */
-    auto askForLoan(absl::Time now, const LoanRequest &request) -> void;
-
     /** Whether this host watches the store for its region. */
     [[nodiscard]] auto watchesStore(absl::Time now) const -> bool;
 
@@ -105,8 +98,6 @@
 
     auto chooseTargets(absl::Time now) -> std::vector<Target>;
     auto message(absl::Time now, Scope scope) -> std::string;
-    auto compose(absl::Time now, Scope scope) -> fleet::Gossip;
-    auto hearQuotas(absl::Time now, const fleet::Gossip &gossip) -> void;
     auto send(const std::string &address, const std::string &data) -> void;
     auto isInRegion(const KnownHost &host) const -> bool;
 
--- a/libraries/process/steeringhandler.cpp
+++ b/libraries/process/steeringhandler.cpp
@@ -145,7 +145,7 @@
 SteeringHandler::SteeringHandler(SteeringServices services)
     : services_(std::move(services))
     , pool_(poolSettings(services_.protocol_))
-    , quotas_(services_.hostName_, services_.startedAt_)
+    , quotas_(services_.hostName_, monotonicNow())
     , crashes_(maximumCrashRecords)
 {
 }
@@ -241,35 +241,11 @@
             return Refusal::CrashSuspect;
         }
     }
-    return isWithinQuota(run) ? std::nullopt : std::optional(Refusal::RateExceeded);
-}
-
-auto SteeringHandler::isWithinQuota(const Run &run) -> bool
-{
-    if (run.organisation_ == nullptr) {
-        return true;
-    }
     const auto now = monotonicNow();
-    const auto admission = quotas_.admitRequest(now, run.organisation_->limits_, services_.terms_().quota_, services_.shareHolders_(now));
-    if (admission.loan_ && services_.askForLoan_) {
-        services_.askForLoan_(now, *admission.loan_);
-    }
-    return admission.isAdmitted_;
-}
-
-auto SteeringHandler::lend(absl::Time now, const LoanRequest &request) -> LoanGrant
-{
-    const auto policy = services_.state_->view()->policy_;
-    const auto *organisation = policy ? policy->findOrganisation(request.organisation_) : nullptr;
-    if (organisation == nullptr || services_.isStopping_()) {
-        return {};
+    if (run.organisation_ != nullptr && !quotas_.admitRequest(now, run.organisation_->limits_, services_.terms_().quota_, services_.shareHolders_(now))) {
+        return Refusal::RateExceeded;
     }
-    return quotas_.lendTo(now, request, organisation->limits_, services_.terms_().quota_, services_.shareHolders_(now));
-}
-
-auto SteeringHandler::takeLoan(absl::Time now, const LoanGrant &grant) -> void
-{
-    quotas_.takeLoan(now, grant);
+    return std::nullopt;
 }
 
 // Finds the organisation and removes the key from what a backend server receives, on open routes as well.
--- a/libraries/process/steeringhandler.h
+++ b/libraries/process/steeringhandler.h
@@ -34,16 +34,12 @@
 struct SteeringServices
 {
     std::string hostName_;
-    /** When the process started, by the monotonic clock. */
-    absl::Time startedAt_ = absl::InfinitePast();
     CallerProtocol protocol_;
     /** The terms in force, which a change of the settings may replace. */
     std::function<FleetTerms()> terms_;
     FleetState *state_ = nullptr;
     /** Hashes of the hosts among which shares are split. */
     std::function<std::vector<std::uint64_t>(absl::Time)> shareHolders_;
-    /** Asks other hosts for admissions of an organisation. */
-    std::function<void(absl::Time, const LoanRequest &)> askForLoan_;
     std::function<bool()> isStopping_;
     std::function<void(const RequestObservation &)> observe_;
 };
@@ -67,10 +63,6 @@
     [[nodiscard]] auto crashes(absl::Time now) const -> std::vector<CrashRecord>;
     auto addCrash(absl::Time now, const CrashRecord &record) -> void;
 
-    /** Lends admissions of an organisation to another host. */
-    [[nodiscard]] auto lend(absl::Time now, const LoanRequest &request) -> LoanGrant;
-    auto takeLoan(absl::Time now, const LoanGrant &grant) -> void;
-
     /** Requests being served. */
     [[nodiscard]] auto inFlight() const -> int;
 
@@ -78,7 +70,6 @@
     struct Run;
 
     auto admitRun(Run &run) -> std::optional<Refusal>;
-    auto isWithinQuota(const Run &run) -> bool;
     auto identify(Run &run) -> std::optional<Refusal>;
     auto chooseService(Run &run) -> void;
     /** The service and the place of the object in its rankings. */
--- a/libraries/request/windowquota.cpp
+++ b/libraries/request/windowquota.cpp
@@ -31,27 +31,18 @@
     return fleetQuota / count + (before < fleetQuota % count ? 1 : 0);
 }
 
-auto admittedCount(WindowQuota &quota, absl::Time now, absl::Duration window) -> std::int64_t
+auto admit(WindowQuota &quota, absl::Time now, absl::Time startedAt, std::int64_t limit, absl::Duration window) -> bool
 {
     while (!quota.admitted_.empty() && now - quota.admitted_.front() >= window) {
         quota.admitted_.pop_front();
     }
-    return static_cast<std::int64_t>(quota.admitted_.size());
-}
-
-auto admit(WindowQuota &quota, absl::Time now, std::int64_t limit, absl::Duration window) -> bool
-{
-    if (admittedCount(quota, now, window) >= limit) {
+    const auto grown = std::min(1.0, absl::FDivDuration(now - startedAt, window));
+    const auto inForce = static_cast<std::int64_t>(std::ceil(static_cast<double>(limit) * grown));
+    if (static_cast<std::int64_t>(quota.admitted_.size()) >= inForce) {
         return false;
     }
     quota.admitted_.push_back(now);
     return true;
 }
 
-auto grownLimit(std::int64_t limit, absl::Duration sinceStart, absl::Duration window) -> std::int64_t
-{
-    const auto grown = std::clamp(absl::FDivDuration(sinceStart, window), 0.0, 1.0);
-    return static_cast<std::int64_t>(std::ceil(static_cast<double>(limit) * grown));
-}
-
 }
--- a/libraries/request/windowquota.h
+++ b/libraries/request/windowquota.h
@@ -36,13 +36,10 @@
     std::deque<absl::Time> admitted_;
 };
 
-/** Requests admitted within the window. */
-[[nodiscard]] auto admittedCount(WindowQuota &quota, absl::Time now, absl::Duration window) -> std::int64_t;
-
-/** Admits a request if fewer than the limit were admitted within the window. */
-[[nodiscard]] auto admit(WindowQuota &quota, absl::Time now, std::int64_t limit, absl::Duration window) -> bool;
-
-/** A limit that grows from zero over the first window of a process, since an earlier process of this host may have admitted requests just before. */
-[[nodiscard]] auto grownLimit(std::int64_t limit, absl::Duration sinceStart, absl::Duration window) -> std::int64_t;
+/**
+ * Admits a request if fewer than the limit were admitted within the window. The limit grows from zero over the first window of a process, since an
+ * earlier process of this host may have admitted requests just before.
+ */
+[[nodiscard]] auto admit(WindowQuota &quota, absl::Time now, absl::Time startedAt, std::int64_t limit, absl::Duration window) -> bool;
 
 }
--- a/libraries/request/windowquotatest.cpp
+++ b/libraries/request/windowquotatest.cpp
@@ -76,7 +76,7 @@
                 std::fill(quotas.begin(), quotas.end(), WindowQuota {});
             }
             const auto share = hostQuota(fleetQuota(limits, terms), hosts, hosts[host], stableHash(limits.name_));
-            if (now >= startedAt[host] && admit(quotas[host], now, grownLimit(share, now - startedAt[host], terms.window_), terms.window_)) {
+            if (now >= startedAt[host] && admit(quotas[host], now, startedAt[host], share, terms.window_)) {
                 admitted.push_back(now);
             }
         }
--- a/libraries/version/policyindex.cpp
+++ b/libraries/version/policyindex.cpp
@@ -1,7 +1,5 @@
 #include "version/policyindex.h"
 
-#include "core/digest.h"
-
 #include <absl/strings/ascii.h>
 
 #include <algorithm>
@@ -22,7 +20,6 @@
         });
     }
     for (const auto &organisation : policy_.organisations_) {
-        organisationsByHash_[stableHash(organisation.limits_.name_)] = &organisation;
         for (const auto &key : organisation.keys_) {
             organisations_[key] = &organisation;
         }
@@ -58,12 +55,6 @@
     return found == organisations_.end() ? nullptr : found->second;
 }
 
-auto PolicyIndex::findOrganisation(std::uint64_t nameHash) const -> const PolicyOrganisation *
-{
-    const auto found = organisationsByHash_.find(nameHash);
-    return found == organisationsByHash_.end() ? nullptr : found->second;
-}
-
 auto PolicyIndex::findService(const std::string &name) const -> const PolicyService *
 {
     const auto found = services_.find(name);
--- a/libraries/version/policyindex.h
+++ b/libraries/version/policyindex.h
@@ -5,7 +5,6 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -28,9 +27,6 @@
     /** The organisation that holds a key; null when none does. */
     [[nodiscard]] auto findByKey(const std::string &key) const -> const PolicyOrganisation *;
 
-    /** The organisation whose name has a stable hash; null when there is none. */
-    [[nodiscard]] auto findOrganisation(std::uint64_t nameHash) const -> const PolicyOrganisation *;
-
     /** The service with a name; null when there is none. */
     [[nodiscard]] auto findService(const std::string &name) const -> const PolicyService *;
 
@@ -39,7 +35,6 @@
     /** Routes of a host, longest prefix first. */
     absl::flat_hash_map<std::string, std::vector<const PolicyRoute *>> routes_;
     absl::flat_hash_map<std::string, const PolicyOrganisation *> organisations_;
-    absl::flat_hash_map<std::uint64_t, const PolicyOrganisation *> organisationsByHash_;
     absl::flat_hash_map<std::string, const PolicyService *> services_;
 };
 
