Keep three quarters of the objects in their own region

Cause: bytes between regions are among the largest prices, and on the grown deployments the largest. Half of the objects were spread evenly over all regions to even out demand; with requests waiting at their object's server up to 700 ms, less of that is needed.

--- a/libraries/process/fleetstate.cpp
+++ b/libraries/process/fleetstate.cpp
@@ -21,7 +21,7 @@
 constexpr auto reregistrationTime = absl::Seconds(2);
 
 /** Part of the objects that is kept in its own region where possible; the others are spread over all regions, which evens out uneven demand. */
-constexpr auto localPart = 0.5;
+constexpr auto localPart = 0.75;
 
 auto logChange(LogLevel level, const char *event, const FleetRecord &record, const std::string &source, std::vector<LogField> more) -> void
 {
