--- a/tests/platform/support/fleet.cpp
+++ b/tests/platform/support/fleet.cpp
@@ -1,5 +1,7 @@
 #include "support/fleet.h"
 
+#include "support/controlcall.h"
+
 #include "core/testaddress.h"
 
 #include <fmt/format.h>
@@ -33,6 +35,9 @@
 /** Last parts of the addresses of hosts and backend servers in a zone start here. */
 constexpr auto firstHostIp = 10;
 constexpr auto firstUpstreamIp = 100;
+/** Third part of the addresses of the fault proxy's links starts here. */
+constexpr auto firstProxyIp = 20;
+constexpr auto proxyPort = 8005;
 constexpr auto pollInterval = std::chrono::milliseconds { 20 };
 
 constexpr auto okStatus = 200;
@@ -80,22 +85,13 @@
     for (const auto *const zone : zones) {
         ++third;
         for (auto number = 0; number < settings_.upstreamsPerZone_; ++number) {
-            upstreams_.push_back(
-                std::make_unique<Upstream>(fmt::format("i-{}-{}", zone, number), zone, lycheecleat::testIp(third, firstUpstreamIp + number), store_, log_));
+            addUpstream(zone, third, number);
         }
         for (auto number = 0; number < settings_.hostsPerZone_; ++number) {
-            const auto ip = lycheecleat::testIp(third, firstHostIp + number);
-            auto host = FleetHost {};
-            host.name_ = fmt::format("host-{}-{}", zone, number);
-            host.zone_ = zone;
-            host.callerAddress_ = fmt::format("{}:{}", ip, callerPort);
-            host.readyAddress_ = fmt::format("{}:{}", ip, readyPort);
-            host.lookupAddress_ = fmt::format("{}:{}", ip, lookupPort);
-            host.storeAddress_ = store_.listen(lycheecleat::testIp(0, firstHostIp + static_cast<int>(hosts_.size())) + ":0");
-            host.settingsFile_ = folder_ + "/" + host.name_ + ".json";
-            hosts_.push_back(std::move(host));
+            addHost(zone, third, number);
         }
     }
+    startProxy();
     for (auto &host : hosts_) {
         writeSettings(host);
         startHost(host);
@@ -112,6 +108,55 @@
     }
 }
 
+auto Fleet::addUpstream(const std::string &zone, int third, int number) -> void
+{
+    const auto instance = fmt::format("i-{}-{}", zone, number);
+    auto upstream = std::make_unique<Upstream>(instance, zone, lycheecleat::testIp(third, firstUpstreamIp + number), store_, log_);
+    if (settings_.isProxied_) {
+        const auto listen = fmt::format("{}:{}", lycheecleat::testIp(third + firstProxyIp, firstUpstreamIp + number), proxyPort);
+        links_.push_back({ "upstream-" + instance, listen, upstream->address() });
+        upstream->announceAddress(listen);
+    }
+    upstream->registerAs("ready");
+    upstreams_.push_back(std::move(upstream));
+}
+
+auto Fleet::addHost(const std::string &zone, int third, int number) -> void
+{
+    const auto ip = lycheecleat::testIp(third, firstHostIp + number);
+    auto host = FleetHost {};
+    host.name_ = fmt::format("host-{}-{}", zone, number);
+    host.zone_ = zone;
+    host.callerAddress_ = fmt::format("{}:{}", ip, callerPort);
+    host.readyAddress_ = fmt::format("{}:{}", ip, readyPort);
+    host.lookupAddress_ = fmt::format("{}:{}", ip, lookupPort);
+    host.storeAddress_ = store_.listen(lycheecleat::testIp(0, firstHostIp + static_cast<int>(hosts_.size())) + ":0");
+    host.storeSeenAt_ = host.storeAddress_;
+    if (settings_.isProxied_) {
+        host.storeSeenAt_ = fmt::format("{}:{}", lycheecleat::testIp(firstProxyIp, firstHostIp + static_cast<int>(hosts_.size())), proxyPort);
+        links_.push_back({ "store-" + host.name_, host.storeSeenAt_, host.storeAddress_ });
+    }
+    host.settingsFile_ = folder_ + "/" + host.name_ + ".json";
+    hosts_.push_back(std::move(host));
+}
+
+auto Fleet::startProxy() -> void
+{
+    if (!settings_.isProxied_) {
+        return;
+    }
+    proxy_ = std::make_unique<standin::FaultProxy>(links_);
+    if (!proxy_->start(lycheecleat::testIp(firstProxyIp, 1) + ":0")) {
+        throw std::runtime_error("the fault proxy cannot listen");
+    }
+}
+
+auto Fleet::injectFault(const std::string &fault, const std::string &link, nlohmann::json body) -> void
+{
+    body["links"] = { link };
+    integration::postControl(proxy_->controlAddress(), "/control/" + fault, body);
+}
+
 auto Fleet::writeSettings(const FleetHost &host) -> void
 {
     const auto ip = host.callerAddress_.substr(0, host.callerAddress_.find(':'));
@@ -137,7 +182,7 @@
             { "grace", "6s" },
             { "retry_budget_ratio", 0.2 },
             { "budget_extra", 100 } } },
-        { "platform", { { "address", host.storeAddress_ } } },
+        { "platform", { { "address", host.storeSeenAt_ } } },
     };
     integration::writeText(host.settingsFile_, json.dump());
 }
--- a/tests/platform/support/fleet.h
+++ b/tests/platform/support/fleet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "support/caller.h"
+#include "support/faultproxy.h"
 #include "support/keyvalueserver.h"
 #include "support/process.h"
 #include "support/upstream.h"
@@ -24,6 +25,8 @@
     /** Rate and burst of the organisation "limited"; "free" has none. */
     double rate_ = 20;
     int burst_ = 20;
+    /** Puts a fault proxy on each host's connections to the store and on the connections to each backend server. */
+    bool isProxied_ = false;
 };
 
 /** One entry host. */
@@ -34,8 +37,9 @@
     std::string callerAddress_;
     std::string readyAddress_;
     std::string lookupAddress_;
-    /** Address of the store for this host. */
+    /** Address of the store for this host, and the one that it calls: the proxy's, if there is one. */
     std::string storeAddress_;
+    std::string storeSeenAt_;
     std::string settingsFile_;
     std::unique_ptr<integration::Process> process_;
 };
@@ -66,6 +70,9 @@
     /** Writes the configuration under the next version. Keys: "key-free" of "free", "key-limited" of "limited", unless left out. */
     auto configure(const std::vector<std::string> &keysLeftOut = {}) -> void;
 
+    /** Calls the fault proxy: cut, freeze, drop-replies {"on"}, delay {"ms"}, silence. Links are "store-HOST" and "upstream-INSTANCE", or "*" for all. */
+    auto injectFault(const std::string &fault, const std::string &link, nlohmann::json body) -> void;
+
     /** Changes the limit of the organisation "limited" with the next configuration. */
     auto setLimit(double rate, int burst) -> void;
 
@@ -82,6 +89,9 @@
 
 private:
     static auto writeSettings(const FleetHost &host) -> void;
+    auto addHost(const std::string &zone, int third, int number) -> void;
+    auto addUpstream(const std::string &zone, int third, int number) -> void;
+    auto startProxy() -> void;
 
     FleetSettings settings_;
     std::string folder_;
@@ -90,6 +100,8 @@
     RunLog log_;
     std::vector<std::unique_ptr<Upstream>> upstreams_;
     std::vector<FleetHost> hosts_;
+    std::vector<standin::ProxyLink> links_;
+    std::unique_ptr<standin::FaultProxy> proxy_;
     integration::Caller caller_;
 };
 
--- a/tests/platform/support/upstream.cpp
+++ b/tests/platform/support/upstream.cpp
@@ -52,7 +52,18 @@
     if (!server_.start(ip + ":0")) {
         throw std::runtime_error("the backend server cannot listen on " + ip);
     }
-    registerAs("ready");
+    announcedAddress_ = server_.address();
+}
+
+auto Upstream::address() const -> std::string
+{
+    return server_.address();
+}
+
+auto Upstream::announceAddress(const std::string &address) -> void
+{
+    const auto lock = std::lock_guard(mutex_);
+    announcedAddress_ = address;
 }
 
 auto Upstream::registerAs(const std::string &state) -> void
@@ -60,7 +71,7 @@
     const auto lock = std::lock_guard(mutex_);
     store_.put("servers/" + instance_,
                Json { { "born", 1 },
-                      { "address", server_.address() },
+                      { "address", announcedAddress_ },
                       { "info", { { "service", "s" }, { "version", "v1" }, { "zone", zone_ }, { "slots", slots } } },
                       { "status", { { "state", state }, { "seq", ++sequence_ }, { "cold_left", "0ms" } } } }
                    .dump());
--- a/tests/platform/support/upstream.h
+++ b/tests/platform/support/upstream.h
@@ -51,9 +51,13 @@
 class Upstream
 {
 public:
-    /** Listens on the IP address and registers itself. Throws when it cannot listen. */
+    /** Listens on the IP address. Throws when it cannot. */
     Upstream(std::string instance, std::string zone, const std::string &ip, KeyValueServer &store, RunLog &log);
 
+    [[nodiscard]] auto address() const -> std::string;
+    /** Registers under another address than its own, such as a proxy's. */
+    auto announceAddress(const std::string &address) -> void;
+
     /** Writes its registration with a state, "ready" or "draining". */
     auto registerAs(const std::string &state) -> void;
     /** Removes its registration. */
@@ -73,6 +77,7 @@
     std::mutex mutex_;
     UpstreamFault fault_ = UpstreamFault::None;
     int sequence_ = 0;
+    std::string announcedAddress_;
     standin::HttpServer server_;
 };
 
