--- a/tests/platform/operatortest.cpp
+++ b/tests/platform/operatortest.cpp
@@ -55,9 +55,9 @@
         CAPTURE(result.errorOutput_);
         CHECK(result.exitCode_ == 0);
         const auto json = nlohmann::json::parse(result.output_, nullptr, false);
-        for (const auto &[pointer, value] : toolCase.expected_) {
-            CAPTURE(pointer);
-            CHECK(json.value(nlohmann::json::json_pointer(pointer), nlohmann::json()) == value);
+        for (const auto &expected : toolCase.expected_) {
+            CAPTURE(expected.first);
+            CHECK(json.value(nlohmann::json::json_pointer(expected.first), nlohmann::json()) == expected.second);
         }
     }
     const auto explained = nlohmann::json::parse(runTool(host, { "explain", "--host", "service.example", "--path", "/read/a", "--object", "x" }).output_);
--- a/tests/platform/support/keyvalueserver.cpp
+++ b/tests/platform/support/keyvalueserver.cpp
@@ -92,7 +92,7 @@
     if (!server->start(address)) {
         throw std::runtime_error("the store cannot listen on " + address);
     }
-    const auto bound = server->address();
+    auto bound = server->address();
     const auto lock = Lock(mutex_);
     doors_.push_back({ bound, StoreFault::None, std::move(server) });
     return bound;
