Use one class of callers in the tests with real daemons

promisestest and soaktest had a class each that differed in its name and in where the number of callers came from. Tests, bounds and assertions are unchanged.

--- a/tests/platform/promisestest.cpp
+++ b/tests/platform/promisestest.cpp
@@ -1,10 +1,8 @@
-#include "support/fleet.h"
+#include "support/callers.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <atomic>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -16,47 +14,6 @@
 
 constexpr auto okStatus = 200;
 
-/** Callers that send without pause to hosts in turn until it ends; their calls are kept. */
-class Load
-{
-public:
-    Load(Fleet &fleet, const std::string &path, const std::string &key, int callers)
-    {
-        for (auto caller = 0; caller < callers; ++caller) {
-            threads_.emplace_back([this, &fleet, path, key, caller] {
-                for (auto number = caller; !isStopped_; ++number) {
-                    auto call = fleet.call(fleet.hosts()[static_cast<std::size_t>(number) % fleet.hosts().size()], path, key);
-                    const auto lock = std::lock_guard(mutex_);
-                    calls_.push_back(std::move(call));
-                }
-            });
-        }
-    }
-    ~Load()
-    {
-        stop();
-    }
-    Load(const Load &) = delete;
-    auto operator=(const Load &) -> Load & = delete;
-
-    auto stop() -> std::vector<FleetCall>
-    {
-        isStopped_ = true;
-        for (auto &thread : threads_) {
-            if (thread.joinable()) {
-                thread.join();
-            }
-        }
-        return calls_;
-    }
-
-private:
-    std::atomic<bool> isStopped_ = false;
-    std::mutex mutex_;
-    std::vector<FleetCall> calls_;
-    std::vector<std::thread> threads_;
-};
-
 struct EndingCase
 {
     std::string title_;
@@ -77,8 +34,8 @@
     auto fleet = Fleet();
     for (const auto &endingCase : cases) {
         CAPTURE(endingCase.title_);
-        auto once = Load(fleet, "/book/a", "key-free", 3);
-        auto repeatable = Load(fleet, "/read/a", "key-free", 3);
+        auto once = Callers(fleet, "/book/a", "key-free", 3);
+        auto repeatable = Callers(fleet, "/read/a", "key-free", 3);
         std::this_thread::sleep_for(std::chrono::milliseconds { 300 });
         fleet.upstreams().front()->setFault(endingCase.fault_);
         std::this_thread::sleep_for(std::chrono::milliseconds { 1500 });
@@ -96,7 +53,7 @@
 TEST_CASE("promises hold while entry hosts are killed, stopped and restarted")
 {
     auto fleet = Fleet();
-    auto once = Load(fleet, "/book/a", "key-free", 4);
+    auto once = Callers(fleet, "/book/a", "key-free", 4);
     auto &killed = fleet.hosts()[0];
     auto &stopped = fleet.hosts()[2];
     std::this_thread::sleep_for(std::chrono::milliseconds { 500 });
@@ -149,7 +106,7 @@
     constexpr auto slack = 20;
     constexpr auto bound = (rate * 5 + burst) * overage + slack;
     auto fleet = Fleet();
-    auto load = Load(fleet, "/read/a", "key-limited", 6);
+    auto load = Callers(fleet, "/read/a", "key-limited", 6);
     auto &hosts = fleet.hosts();
     std::this_thread::sleep_for(std::chrono::seconds { 5 });
     hosts[0].process_->freeze();
--- a/tests/platform/soaktest.cpp
+++ b/tests/platform/soaktest.cpp
@@ -1,13 +1,11 @@
-#include "support/fleet.h"
+#include "support/callers.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <cstdlib>
 #include <functional>
-#include <mutex>
 #include <random>
 #include <sstream>
 #include <string>
@@ -54,47 +52,6 @@
     return found;
 }
 
-/** Callers that use one path and key on hosts in turn, on connections of their own. */
-class Callers
-{
-public:
-    Callers(Fleet &fleet, const std::string &path, const std::string &key)
-    {
-        for (auto caller = 0; caller < callersPerPath; ++caller) {
-            threads_.emplace_back([this, &fleet, path, key, caller] {
-                for (auto number = caller; !isStopped_; ++number) {
-                    auto call = fleet.call(fleet.hosts()[static_cast<std::size_t>(number) % fleet.hosts().size()], path, key);
-                    const auto lock = std::lock_guard(mutex_);
-                    calls_.push_back(std::move(call));
-                }
-            });
-        }
-    }
-    ~Callers()
-    {
-        stop();
-    }
-    Callers(const Callers &) = delete;
-    auto operator=(const Callers &) -> Callers & = delete;
-
-    auto stop() -> std::vector<FleetCall>
-    {
-        isStopped_ = true;
-        for (auto &thread : threads_) {
-            if (thread.joinable()) {
-                thread.join();
-            }
-        }
-        return calls_;
-    }
-
-private:
-    std::atomic<bool> isStopped_ = false;
-    std::mutex mutex_;
-    std::vector<FleetCall> calls_;
-    std::vector<std::thread> threads_;
-};
-
 /** Faults drawn from a seed, several at a time, and their ends. */
 class Faults
 {
@@ -347,9 +304,9 @@
         settings.burst_ = burst;
         settings.isProxied_ = true;
         auto fleet = Fleet(settings);
-        auto once = Callers(fleet, "/book/a", "key-free");
-        auto repeatable = Callers(fleet, "/read/a", "key-free");
-        auto limited = Callers(fleet, "/read/b", "key-limited");
+        auto once = Callers(fleet, "/book/a", "key-free", callersPerPath);
+        auto repeatable = Callers(fleet, "/read/a", "key-free", callersPerPath);
+        auto limited = Callers(fleet, "/read/b", "key-limited", callersPerPath);
         auto faults = Faults(fleet, seed);
         faults.run();
         CAPTURE(faults.story());
--- /dev/null
+++ b/tests/platform/support/callers.cpp
@@ -0,0 +1,37 @@
+#include "support/callers.h"
+
+#include <utility>
+
+namespace platformtest
+{
+
+Callers::Callers(Fleet &fleet, const std::string &path, const std::string &key, int count)
+{
+    for (auto caller = 0; caller < count; ++caller) {
+        threads_.emplace_back([this, &fleet, path, key, caller] {
+            for (auto number = caller; !isStopped_; ++number) {
+                auto call = fleet.call(fleet.hosts()[static_cast<std::size_t>(number) % fleet.hosts().size()], path, key);
+                const auto lock = std::lock_guard(mutex_);
+                calls_.push_back(std::move(call));
+            }
+        });
+    }
+}
+
+Callers::~Callers()
+{
+    stop();
+}
+
+auto Callers::stop() -> std::vector<FleetCall>
+{
+    isStopped_ = true;
+    for (auto &thread : threads_) {
+        if (thread.joinable()) {
+            thread.join();
+        }
+    }
+    return calls_;
+}
+
+}
