Log how long requests lay unread, and whether their callers had left

Request lines hold unread_ms (from TCP_INFO, the time since the newest bytes arrived), sent_ms and caller_closed. A histogram counts unread times. A wake-up of the process that comes half a second late is logged with the processor time used meanwhile, so that a busy process and a stopped one can be told apart. No change of behaviour.

--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -61,6 +61,22 @@
     return waitFor(noSocket, 0, deadline, socket) == TransferStatus::Abandoned;
 }
 
+auto isPeerClosed(int socket) -> bool
+{
+    auto descriptor = pollfd { socket, POLLRDHUP, 0 };
+    return poll(&descriptor, 1, 0) > 0;
+}
+
+auto timeSinceArrival(int socket) -> absl::Duration
+{
+    auto information = tcp_info {};
+    auto size = socklen_t { sizeof(information) };
+    if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &information, &size) != 0) {
+        return absl::ZeroDuration();
+    }
+    return absl::Milliseconds(information.tcpi_last_data_recv);
+}
+
 auto parseSockaddr(const std::string &text, sockaddr_storage &parsed) -> socklen_t
 {
     const auto colon = text.rfind(':');
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -31,6 +31,12 @@
 /** Waits until the peer of a socket closes its connection; false at the deadline, or for socket -1, which is never closed. */
 [[nodiscard]] auto waitForPeerClose(int socket, absl::Time deadline) -> bool;
 
+/** Whether the peer of a socket has closed or reset its connection, even if bytes that it sent before are still unread; false for socket -1. */
+[[nodiscard]] auto isPeerClosed(int socket) -> bool;
+
+/** Time since the newest bytes arrived at a socket, whether they have been read or not; zero when the system does not tell. */
+[[nodiscard]] auto timeSinceArrival(int socket) -> absl::Duration;
+
 /** Owns one non-blocking socket and buffers reads. Deadlines are monotonic times. Not thread-safe. */
 class TcpConnection
 {
--- a/libraries/core/clock.cpp
+++ b/libraries/core/clock.cpp
@@ -7,11 +7,31 @@
 namespace lycheecleat
 {
 
-auto monotonicNow() -> absl::Time
+namespace
+{
+
+auto readClock(clockid_t clock) -> timespec
 {
     auto value = timespec {};
-    clock_gettime(CLOCK_BOOTTIME, &value);
-    return absl::TimeFromTimespec(value);
+    clock_gettime(clock, &value);
+    return value;
+}
+
+}
+
+auto monotonicNow() -> absl::Time
+{
+    return absl::TimeFromTimespec(readClock(CLOCK_BOOTTIME));
+}
+
+auto runningNow() -> absl::Time
+{
+    return absl::TimeFromTimespec(readClock(CLOCK_MONOTONIC));
+}
+
+auto processorTime() -> absl::Duration
+{
+    return absl::DurationFromTimespec(readClock(CLOCK_PROCESS_CPUTIME_ID));
 }
 
 auto wallNow() -> absl::Time
--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -4,6 +4,7 @@
 #include "connection/tcpconnection.h"
 #include "core/clock.h"
 #include "core/log.h"
+#include "process/processdelay.h"
 #include "process/requestmessages.h"
 #include "request/refusal.h"
 #include "request/runtoken.h"
@@ -173,7 +174,7 @@
     auto runWorker() -> void;
     auto checkTimeouts() -> void;
     auto acceptAll(std::size_t listener) -> void;
-    auto serveReceivedRequest(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt) -> ConnectionStep;
+    auto serveReceivedRequest(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt, absl::Duration unreadTime) -> ConnectionStep;
     auto write(CallerConnection &connection, const std::string &method, HttpResponse response, bool close) -> ConnectionStep;
     auto addThread() -> void;
     auto currentLimits() const -> CallerLimits;
@@ -418,6 +419,8 @@
 auto CallerServer::State::serveRequest(CallerConnection &connection) -> ConnectionStep
 {
     const auto receivedAt = connection.headBegun_ ? connection.waitingSince_ : monotonicNow();
+    // The newest bytes arrived last, so this is at most the time for which the request has waited.
+    const auto unreadTime = connection.headBegun_ ? absl::ZeroDuration() : timeSinceArrival(connection.connection_.socket());
     const auto deadline = monotonicNow() + settings_.readTimeout_;
     auto reader = RequestReader(connection.connection_);
     const auto headStatus = reader.readHead(currentLimits().maximumHeadBytes_, deadline);
@@ -427,7 +430,7 @@
                       headStatus == MessageStatus::HeadTooLarge ? "the head is larger than allowed" : "the head is not valid HTTP/1.1");
     }
     if (handlers_.respond_) {
-        return serveReceivedRequest(connection, reader, receivedAt);
+        return serveReceivedRequest(connection, reader, receivedAt, unreadTime);
     }
     const auto &content = reader.request();
     auto request = requestOf(content, connection.remoteAddress_);
@@ -453,7 +456,8 @@
     return respond(connection, content.method_, response, reader.closesConnection());
 }
 
-auto CallerServer::State::serveReceivedRequest(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt) -> ConnectionStep
+auto CallerServer::State::serveReceivedRequest(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt, absl::Duration unreadTime)
+    -> ConnectionStep
 {
     // The body timeout must not be shorter than the caller's own deadline, or it would abort uploads that are only slow.
     const auto bodyStatus =
@@ -461,7 +465,7 @@
     if (bodyStatus != MessageStatus::Complete) {
         return bodyStatus == MessageStatus::BodyTooLarge ? refuse(connection, Refusal::BodyTooLarge, bodyTooLargeDetail) : ConnectionStep::Close;
     }
-    const auto request = ReceivedRequest { reader.request(), receivedAt, connection.connection_.socket(), connection.listener_ };
+    const auto request = ReceivedRequest { reader.request(), receivedAt, connection.connection_.socket(), connection.listener_, unreadTime };
     const auto isOverloaded = connection.listener_ == 0 && activeConnections_.load() > settings_.maximumRequests_;
     auto response = isOverloaded ? handlers_.respondOverloaded_(request) : handlers_.respond_(request);
     if (response.isAbandoned_) {
@@ -529,8 +533,14 @@
 
 auto CallerServer::State::checkTimeouts() -> void
 {
+    auto before = readWake();
     while (!timeoutChecksEnd_.WaitForNotificationWithTimeout(timeoutCheckInterval)) {
-        closeExpired(monotonicNow(), false);
+        const auto now = readWake();
+        if (const auto delay = delayBetween(before, now, timeoutCheckInterval)) {
+            logDelay(*delay);
+        }
+        before = now;
+        closeExpired(now.at_, false);
     }
 }
 
--- a/libraries/process/callerserver.h
+++ b/libraries/process/callerserver.h
@@ -58,6 +58,8 @@
     int socket_ = -1;
     /** Index of the listening address: 0 for address_, then furtherAddresses_ in order. */
     std::size_t listener_ = 0;
+    /** How long the request had been at this host before it was read; zero when the system does not tell. */
+    absl::Duration unreadTime_ = absl::ZeroDuration();
 };
 
 /** A response for a caller. */
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -11,7 +11,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <ctime>
 #include <utility>
 
 namespace lycheecleat
@@ -93,13 +92,6 @@
     const FleetState &state_;
 };
 
-auto processTimeSeconds() -> double
-{
-    auto used = timespec {};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-    return absl::ToDoubleSeconds(absl::DurationFromTimespec(used));
-}
-
 auto plainResponse(int status) -> CallerResponse
 {
     return { { status, {}, "" }, false, false };
@@ -291,7 +283,7 @@
           MetricKind::Gauge,
           {},
           static_cast<double>(gossip_->shareHolders(now).size()) },
-        { "lycheecleat_process_cpu_seconds_total", "Processor time of the process", MetricKind::Counter, {}, processTimeSeconds() },
+        { "lycheecleat_process_cpu_seconds_total", "Processor time of the process", MetricKind::Counter, {}, absl::ToDoubleSeconds(processorTime()) },
     };
     values[0].value_ = view->policy_ ? static_cast<double>(view->policy_->policy().version_) : 0;
     if (lastStoreResponseAt != absl::InfinitePast()) {
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -104,6 +104,11 @@
     return fmt::format("{:.1f}", absl::ToDoubleSeconds(std::clamp(returnAt - now, minimumRetryAfter, maximumRetryAfter)));
 }
 
+auto millisecondsText(absl::Duration duration) -> std::string
+{
+    return fmt::format("{:.1f}", absl::ToDoubleMilliseconds(duration));
+}
+
 auto parseLoadReport(const HttpResponse &response, const std::string &header) -> std::optional<LoadReport>
 {
     const auto value = headerValue(response.headers_, header);
@@ -161,6 +166,7 @@
     endMarks(monotonicNow());
     auto state = RequestState { request, headerValue(request.content_.headers_, services_.protocol_.requestId_), services_.state_->view(), nullptr };
     state.policy_ = state.view_->policy_;
+    state.isCallerGoneAtStart_ = isPeerClosed(request.socket_);
     const auto refusal = admitRequest(state);
     auto response = refusal ? refuse(state, *refusal) : send(state);
     inFlight_ -= 1;
@@ -340,6 +346,7 @@
     call.expectedInstance_ = server.name_;
     call.requestId_ = state.requestId_;
     call.maySend_ = [&] {
+        state.isCallerGoneAtSend_ = isPeerClosed(state.received_.socket_);
         return selector_.maySend(monotonicNow(), *state.choice_.backend_);
     };
     return pool_.exchange(call, state.content_);
@@ -474,7 +481,9 @@
     auto fields = std::vector<LogField> {
         { "request", state.requestId_ },
         { "status", fmt::format("{}", status) },
-        { "ms", fmt::format("{:.1f}", absl::ToDoubleMilliseconds(duration)) },
+        { "ms", millisecondsText(duration) },
+        { "unread_ms", millisecondsText(state.received_.unreadTime_) },
+        { "sent_ms", state.writtenAt_ == absl::InfinitePast() ? "" : millisecondsText(state.writtenAt_ - state.received_.receivedAt_) },
         { "route", state.route_ == nullptr ? "" : state.route_->name_ },
         { "organisation", state.organisation_ == nullptr ? "" : state.organisation_->limits_.name_ },
         { "service", state.service_ },
@@ -494,6 +503,9 @@
     if (!state.detail_.empty()) {
         fields.push_back({ "detail", state.detail_ });
     }
+    if (state.isCallerGoneAtStart_ || state.isCallerGoneAtSend_) {
+        fields.push_back({ "caller_closed", state.isCallerGoneAtStart_ ? "before_read" : "before_send" });
+    }
     logLine(wallNow(), reason.empty() ? LogLevel::Info : LogLevel::Warning, "request", fields);
     if (services_.observe_) {
         services_.observe_({ state.organisation_ == nullptr ? std::string {} : state.organisation_->limits_.name_,
@@ -501,7 +513,8 @@
                              duration,
                              state.route_ == nullptr ? std::string {} : state.route_->name_,
                              status,
-                             state.attempts_ });
+                             state.attempts_,
+                             state.received_.unreadTime_ });
     }
 }
 
--- a/libraries/process/metrics.cpp
+++ b/libraries/process/metrics.cpp
@@ -23,6 +23,15 @@
     return family.Add({}, durationBuckets);
 }
 
+auto makeUnreadTime(prometheus::Registry &registry) -> prometheus::Histogram &
+{
+    auto &family = prometheus::BuildHistogram()
+                       .Name("lycheecleat_request_unread_seconds")
+                       .Help("Time for which requests had been at this host before they were read")
+                       .Register(registry);
+    return family.Add({}, durationBuckets);
+}
+
 auto makeRefusals(prometheus::Registry &registry) -> prometheus::Family<prometheus::Counter> &
 {
     return prometheus::BuildCounter().Name("lycheecleat_requests_refused_total").Help("Requests refused, by reason and organisation").Register(registry);
@@ -69,6 +78,7 @@
 
 Metrics::Metrics()
     : duration_(makeDuration(registry_))
+    , unreadTime_(makeUnreadTime(registry_))
     , refusals_(makeRefusals(registry_))
     , responses_(makeResponses(registry_))
     , resends_(makeResends(registry_))
@@ -78,6 +88,7 @@
 auto Metrics::observe(const RequestObservation &observation) -> void
 {
     duration_.Observe(absl::ToDoubleSeconds(observation.duration_));
+    unreadTime_.Observe(absl::ToDoubleSeconds(observation.unreadTime_));
     if (!observation.route_.empty()) {
         responses_.Add({ { "route", observation.route_ }, { "status", std::to_string(observation.status_) } }).Increment();
     }
--- a/libraries/process/metrics.h
+++ b/libraries/process/metrics.h
@@ -46,6 +46,7 @@
 private:
     prometheus::Registry registry_;
     prometheus::Histogram &duration_;
+    prometheus::Histogram &unreadTime_;
     prometheus::Family<prometheus::Counter> &refusals_;
     prometheus::Family<prometheus::Counter> &responses_;
     prometheus::Counter &resends_;
--- a/libraries/process/requestobservation.h
+++ b/libraries/process/requestobservation.h
@@ -23,6 +23,8 @@
     int status_ = 0;
     /** Number of backend servers to which the request was sent. */
     int attempts_ = 0;
+    /** How long the request waited at this host before it was read. */
+    absl::Duration unreadTime_ = absl::ZeroDuration();
 };
 
 }
