--- a/tests/platform/support/fleet.cpp
+++ b/tests/platform/support/fleet.cpp
@@ -256,15 +256,20 @@
     configure();
 }
 
-auto Fleet::call(const FleetHost &host, const std::string &path, const std::string &key, std::chrono::milliseconds timeout) -> FleetCall
+auto Fleet::call(const FleetHost &host,
+                 const std::string &path,
+                 const std::string &key,
+                 std::chrono::milliseconds timeout,
+                 std::optional<std::chrono::milliseconds> statedTime) -> FleetCall
 {
     auto request = integration::CallerRequest {};
     auto call = FleetCall { nextRequestId(), {}, std::chrono::steady_clock::now() };
     request.path_ = path;
     request.timeout_ = timeout;
-    request.headers_ = {
-        { "X-Request-Id", call.id_ }, { "X-Affinity-Key", call.id_ }, { "X-Deadline-Ms", std::to_string(timeout.count()) }, { "X-Credential", key }
-    };
+    request.headers_ = { { "X-Request-Id", call.id_ },
+                         { "X-Affinity-Key", call.id_ },
+                         { "X-Deadline-Ms", std::to_string(statedTime.value_or(timeout).count()) },
+                         { "X-Credential", key } };
     call.response_ = caller_.send(host.callerAddress_, request);
     call.host_ = host.name_;
     call.receivedAt_ = std::chrono::steady_clock::now();
--- a/tests/platform/support/fleet.h
+++ b/tests/platform/support/fleet.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -86,10 +87,15 @@
     /** Writes a configuration with new limits for the organisation "limited". */
     auto setLimit(double rate, int burst) -> void;
 
-    /** Sends a request to a host. Requests under /read/ may be retried, those under /book/ may run at most once. */
-    auto
-    call(const FleetHost &host, const std::string &path, const std::string &key = "key-free", std::chrono::milliseconds timeout = std::chrono::seconds { 4 })
-        -> FleetCall;
+    /**
+     * Sends a request to a host. Requests under /read/ may be retried, those under /book/ may run at most once. The request states how long its caller waits:
+     * the timeout, unless another time is given.
+     */
+    auto call(const FleetHost &host,
+              const std::string &path,
+              const std::string &key = "key-free",
+              std::chrono::milliseconds timeout = std::chrono::seconds { 4 },
+              std::optional<std::chrono::milliseconds> statedTime = std::nullopt) -> FleetCall;
 
     /** Polls until the condition holds; false after the time limit. */
     [[nodiscard]] static auto waitFor(const std::function<bool()> &condition, std::chrono::milliseconds limit) -> bool;
