Share the test fixture with two backend servers

Tests of callers that leave need the same handler and servers as the tests of signals. No check changes.

--- a/libraries/process/fleetrequestsignalstest.cpp
+++ b/libraries/process/fleetrequestsignalstest.cpp
@@ -1,12 +1,9 @@
-#include "connection/scriptedserver.h"
 #include "core/capturedoutput.h"
-#include "core/testaddress.h"
-#include "process/fleetrequesthandler.h"
+#include "process/twobackendfixture.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -15,115 +12,6 @@
 namespace
 {
 
-constexpr auto okStatus = 200;
-constexpr auto unavailableStatus = 503;
-
-auto requestIdIn(const std::string &head) -> std::string
-{
-    constexpr auto name = std::string_view("X-Request-Id: ");
-    const auto begin = head.find(name) + name.size();
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
-auto reply(const ScriptedRequest &request, int status, const std::string &headers) -> ScriptedReply
-{
-    return { fmt::format("HTTP/1.1 {} Status\r\nX-Request-Id: {}\r\n{}Content-Length: 2\r\n\r\nok", status, requestIdIn(request.head_), headers) };
-}
-
-auto ok(const ScriptedRequest &request) -> ScriptedReply
-{
-    return reply(request, okStatus, "");
-}
-
-auto rejectFirst(const ScriptedRequest &request, const std::string &retryAfter) -> ScriptedReply
-{
-    return request.indexOnServer_ == 0 ? reply(request, unavailableStatus, "X-Not-Executed: 1\r\nRetry-After: " + retryAfter + "\r\n") : ok(request);
-}
-
-/** A handler with two backend servers; nearly all objects are ranked to the first, which has 1000 slots. */
-class SignalFixture
-{
-public:
-    SignalFixture(ScriptedServer::Script first, ScriptedServer::Script second)
-    {
-        servers_.push_back(std::make_unique<ScriptedServer>(testIp(9, 4), std::move(first)));
-        servers_.push_back(std::make_unique<ScriptedServer>(testIp(9, 4), std::move(second)));
-        auto decoders = RecordDecoders {};
-        decoders.policy_ = [](const std::string &) -> Result<TrafficPolicy> {
-            auto route = PolicyRoute {};
-            route.name_ = "r";
-            route.host_ = "h.example";
-            route.prefix_ = "/";
-            route.repeatability_ = Repeatability::Repeatable;
-            route.timeout_ = absl::Seconds(4);
-            route.maximumAttempts_ = 2;
-            route.destinations_ = { { "s", 1 } };
-            auto policy = TrafficPolicy {};
-            policy.version_ = 1;
-            policy.routes_.push_back(route);
-            return policy;
-        };
-        decoders.backend_ = [this](const std::string &name, const std::string &incarnation) -> Result<DiscoveredBackend> {
-            const auto isFirst = name == "first";
-            auto backend = DiscoveredBackend {};
-            backend.server_ = { name, "zone-a", servers_[isFirst ? 0 : 1]->address() };
-            backend.service_ = "s";
-            backend.slots_ = isFirst ? 1000 : 1;
-            backend.incarnation_ = std::stoll(incarnation);
-            return backend;
-        };
-        state_ = std::make_unique<FleetState>(ZoneRegions { { "zone-a", "east" } }, "zone-a", decoders);
-        state_->applyFromStore(monotonicNow(),
-                               { 3,
-                                 true,
-                                 { { RecordKind::Policy, "policy", 1, false, "x" },
-                                   { RecordKind::Backend, "first", 2, false, "1" },
-                                   { RecordKind::Backend, "second", 3, false, "1" } } });
-        auto services = FleetRequestServices {};
-        services.hostName_ = "host";
-        services.state_ = state_.get();
-        services.shareHolders_ = [](absl::Time) {
-            return std::vector<std::uint64_t> {};
-        };
-        services.isStopping_ = [] {
-            return false;
-        };
-        services.settings_ = [] {
-            auto settings = ReloadableSettings {};
-            settings.retryBudgetExtra_ = 10000;
-            return settings;
-        };
-        handler_ = std::make_unique<FleetRequestHandler>(services);
-    }
-
-    /** Registers another incarnation of the first server. */
-    auto restartFirst() -> void
-    {
-        state_->applyFromStore(monotonicNow(), { 4, false, { { RecordKind::Backend, "first", 4, false, "2" } } });
-    }
-
-    auto send(const std::string &id) -> HttpResponse
-    {
-        const auto content = RequestContent { "GET", "/x", { { "Host", "h.example" }, { "X-Request-Id", id }, { "X-Object", "o" } }, "" };
-        return handler_->handle({ content, monotonicNow(), -1, 0 }).httpResponse_;
-    }
-
-    [[nodiscard]] auto requestCount(std::size_t server) const -> int
-    {
-        return servers_[server]->requestCount();
-    }
-
-    [[nodiscard]] auto counts() const -> SignalCounts
-    {
-        return handler_->signalCounts();
-    }
-
-private:
-    std::vector<std::unique_ptr<ScriptedServer>> servers_;
-    std::unique_ptr<FleetState> state_;
-    std::unique_ptr<FleetRequestHandler> handler_;
-};
-
 struct MarkCase
 {
     std::string title_;
@@ -165,7 +53,7 @@
             first.close_ = markCase.body_ != body;
             return request.indexOnServer_ == 0 ? first : ok(request);
         };
-        auto fixture = SignalFixture(script, ok);
+        auto fixture = TwoBackendFixture(script, ok);
         CHECK(fixture.send("id-1").status_ == okStatus);
         CHECK(fixture.requestCount(0) == 1);
         // Longer than a server counts as full after a rejection.
@@ -196,7 +84,7 @@
     };
     const auto cases = std::vector<RefusalCase> { { "60", "60", "5.0" }, { "60", "5", "5.0" } };
     for (const auto &refusalCase : cases) {
-        auto fixture = SignalFixture(
+        auto fixture = TwoBackendFixture(
             [&](const ScriptedRequest &request) {
                 return rejectFirst(request, refusalCase.firstPause_);
             },
@@ -223,7 +111,7 @@
     const auto script = [](const ScriptedRequest &request) {
         return rejectFirst(request, "1");
     };
-    auto fixture = SignalFixture(script, script);
+    auto fixture = TwoBackendFixture(script, script);
     const auto begun = monotonicNow();
     CHECK(fixture.send("id-1").status_ == unavailableStatus);
     const auto response = fixture.send("id-2");
@@ -237,7 +125,7 @@
 TEST_CASE("a mark, its end and an ignored header have log lines")
 {
     auto output = CapturedOutput();
-    auto fixture = SignalFixture(
+    auto fixture = TwoBackendFixture(
         [](const ScriptedRequest &request) {
             return rejectFirst(request, "1");
         },
