--- a/tests/integration/support/process.cpp
+++ b/tests/integration/support/process.cpp
@@ -158,6 +158,9 @@
 auto Process::suspend() -> void
 {
     signal(SIGSTOP);
+    // Threads run on until the stop has reached them all, which is when the parent is told.
+    auto information = siginfo_t {};
+    waitid(P_PID, static_cast<id_t>(pid_), &information, WSTOPPED | WEXITED | WNOWAIT);
 }
 
 auto Process::resume() -> void
--- a/tests/integration/support/process.h
+++ b/tests/integration/support/process.h
@@ -39,7 +39,7 @@
     /** Sends SIGKILL, which simulates a crash, and waits for the exit. */
     auto kill() -> void;
 
-    /** Sends SIGSTOP; resume() sends SIGCONT. */
+    /** Sends SIGSTOP and waits until the process has stopped; resume() sends SIGCONT. */
     auto suspend() -> void;
     auto resume() -> void;
 
