Count a caller's time from the arrival of its request, not from when it is read

What callers saw: requests that lay unread at a stopped or busy host ran although their deadlines had passed, and were answered to callers that no longer waited.

Cause: the deadline began when the process first read a byte of the request, and for a pipelined request when its turn came, so each stall granted it its whole time anew.

Change: the time since the newest bytes arrived (TCP_INFO) is taken off when a request is first looked at, in both request paths; a later arrival of further bytes only makes it shorter, never too long.

Request lines count ms and sent_ms from the arrival.

--- a/bench/addedlatency.cpp
+++ b/bench/addedlatency.cpp
@@ -161,8 +161,8 @@
     auto settings = CallerServerSettings {};
     settings.address_ = "127.0.0.1:0";
     auto server = CallerServer(settings,
-                               { [&](const auto &request, auto &response) {
-                                    handler.handle(request, response);
+                               { [&](const auto &request, auto &response, absl::Time receivedAt) {
+                                    handler.handle(request, response, receivedAt);
                                 },
                                  [](const auto &, auto &) {},
                                  [&](const auto &request) {
--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -26,6 +26,7 @@
 #include <atomic>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -64,6 +65,13 @@
 constexpr auto noContentStatus = 204;
 constexpr auto notModifiedStatus = 304;
 
+/** When the first bytes of a request were read, and how long they had been at this host by then. */
+struct RequestArrival
+{
+    absl::Time readAt_;
+    absl::Duration unreadTime_;
+};
+
 /** The state of a caller's connection. */
 struct CallerConnection
 {
@@ -72,6 +80,8 @@
     /** Time of the last response, or of the first byte of an incomplete request head. */
     absl::Time waitingSince_;
     bool headBegun_ = false;
+    /** Arrival of the request that is being read. */
+    std::optional<RequestArrival> arrival_ = std::nullopt;
     /** Bytes of empty lines that precede the next head; they count toward the size of the head. */
     std::size_t emptyLineBytes_ = 0;
     std::size_t listener_ = 0;
@@ -140,6 +150,15 @@
     return request;
 }
 
+// Arrival of the request whose first bytes are buffered. The newest bytes arrived last, so they show at most the time for which the request has waited.
+auto arrivalOf(CallerConnection &connection) -> RequestArrival
+{
+    if (!connection.arrival_) {
+        connection.arrival_ = RequestArrival { monotonicNow(), timeSinceArrival(connection.connection_.socket()) };
+    }
+    return *connection.arrival_;
+}
+
 auto addressText(const sockaddr_storage &address) -> std::string
 {
     auto buffer = std::array<char, INET6_ADDRSTRLEN> {};
@@ -174,7 +193,7 @@
     auto runWorker() -> void;
     auto checkTimeouts() -> void;
     auto acceptAll(std::size_t listener) -> void;
-    auto serveReceivedRequest(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt, absl::Duration unreadTime) -> ConnectionStep;
+    auto serveReceivedRequest(CallerConnection &connection, RequestReader &reader, const RequestArrival &arrival) -> ConnectionStep;
     auto write(CallerConnection &connection, const std::string &method, HttpResponse response, bool close) -> ConnectionStep;
     auto addThread() -> void;
     auto currentLimits() const -> CallerLimits;
@@ -398,7 +417,7 @@
         const auto begun = !socket.buffered().empty();
         if (begun && !connection.headBegun_) {
             connection.headBegun_ = true;
-            connection.waitingSince_ = monotonicNow();
+            connection.waitingSince_ = arrivalOf(connection).readAt_;
         }
         const auto status = socket.fillAvailable();
         if (status == TransferStatus::TimedOut) {
@@ -411,6 +430,7 @@
     }
     const auto next = serveRequest(connection);
     connection.headBegun_ = false;
+    connection.arrival_.reset();
     connection.emptyLineBytes_ = 0;
     connection.waitingSince_ = monotonicNow();
     return next;
@@ -418,9 +438,7 @@
 
 auto CallerServer::State::serveRequest(CallerConnection &connection) -> ConnectionStep
 {
-    const auto receivedAt = connection.headBegun_ ? connection.waitingSince_ : monotonicNow();
-    // The newest bytes arrived last, so this is at most the time for which the request has waited.
-    const auto unreadTime = connection.headBegun_ ? absl::ZeroDuration() : timeSinceArrival(connection.connection_.socket());
+    const auto arrival = arrivalOf(connection);
     const auto deadline = monotonicNow() + settings_.readTimeout_;
     auto reader = RequestReader(connection.connection_);
     const auto headStatus = reader.readHead(currentLimits().maximumHeadBytes_, deadline);
@@ -430,7 +448,7 @@
                       headStatus == MessageStatus::HeadTooLarge ? "the head is larger than allowed" : "the head is not valid HTTP/1.1");
     }
     if (handlers_.respond_) {
-        return serveReceivedRequest(connection, reader, receivedAt, unreadTime);
+        return serveReceivedRequest(connection, reader, arrival);
     }
     const auto &content = reader.request();
     auto request = requestOf(content, connection.remoteAddress_);
@@ -455,20 +473,20 @@
     if (isPeerClosed(connection.connection_.socket())) {
         return refuse(connection, Refusal::CallerLeft, "the caller closed its connection before its request was handled", outcome);
     }
-    handlers_.handle_(request, response);
+    handlers_.handle_(request, response, arrival.readAt_ - arrival.unreadTime_);
     return respond(connection, content.method_, response, reader.closesConnection());
 }
 
-auto CallerServer::State::serveReceivedRequest(CallerConnection &connection, RequestReader &reader, absl::Time receivedAt, absl::Duration unreadTime)
-    -> ConnectionStep
+auto CallerServer::State::serveReceivedRequest(CallerConnection &connection, RequestReader &reader, const RequestArrival &arrival) -> ConnectionStep
 {
+    const auto receivedAt = arrival.readAt_ - arrival.unreadTime_;
     // The body timeout must not be shorter than the caller's own deadline, or it would abort uploads that are only slow.
     const auto bodyStatus =
-        reader.hasBody() ? reader.readBody(currentLimits().maximumBodyBytes_, receivedAt + settings_.bodyTimeout_) : MessageStatus::Complete;
+        reader.hasBody() ? reader.readBody(currentLimits().maximumBodyBytes_, arrival.readAt_ + settings_.bodyTimeout_) : MessageStatus::Complete;
     if (bodyStatus != MessageStatus::Complete) {
         return bodyStatus == MessageStatus::BodyTooLarge ? refuse(connection, Refusal::BodyTooLarge, bodyTooLargeDetail) : ConnectionStep::Close;
     }
-    const auto request = ReceivedRequest { reader.request(), receivedAt, connection.connection_.socket(), connection.listener_, unreadTime };
+    const auto request = ReceivedRequest { reader.request(), receivedAt, connection.connection_.socket(), connection.listener_, arrival.unreadTime_ };
     const auto isOverloaded = connection.listener_ == 0 && activeConnections_.load() > settings_.maximumRequests_;
     auto response = isOverloaded ? handlers_.respondOverloaded_(request) : handlers_.respond_(request);
     if (response.isAbandoned_) {
--- a/libraries/process/callerserver.h
+++ b/libraries/process/callerserver.h
@@ -52,7 +52,7 @@
 struct ReceivedRequest
 {
     const RequestContent &content_;
-    /** Monotonic time at which the first bytes of the request were read. */
+    /** Monotonic time at which the request arrived at this host, from which its caller's time counts. */
     absl::Time receivedAt_;
     /** The caller's socket, so that a disconnect can be detected while the request runs. */
     int socket_ = -1;
@@ -75,7 +75,8 @@
 /** The functions that the server calls, concurrently and from any of its threads. */
 struct CallerHandlers
 {
-    std::function<void(const httplib::Request &, httplib::Response &)> handle_;
+    /** Also gets the monotonic time at which the request arrived at this host. */
+    std::function<void(const httplib::Request &, httplib::Response &, absl::Time)> handle_;
     std::function<void(const httplib::Request &, httplib::Response &)> lookup_;
     /** Largest body in bytes for a request, of which the head is given. */
     std::function<std::size_t(const httplib::Request &)> bodyLimit_;
--- a/libraries/process/callerservertest.cpp
+++ b/libraries/process/callerservertest.cpp
@@ -64,7 +64,9 @@
 auto handlersOf(std::function<void(const httplib::Request &, httplib::Response &)> handle) -> CallerHandlers
 {
     return {
-        std::move(handle),
+        [handle = std::move(handle)](const httplib::Request &request, httplib::Response &response, absl::Time /*receivedAt*/) {
+            handle(request, response);
+        },
         [](const httplib::Request &, httplib::Response &response) {
             response.status = 200;
             response.body = "lookup";
@@ -332,3 +334,26 @@
     server.stop();
     CHECK(handled == 1);
 }
+
+// Guards against granting a request its whole deadline anew after it waited behind another one.
+TEST_CASE("a pipelined request counts as received when it arrived, not when its turn comes")
+{
+    constexpr auto firstDuration = absl::Milliseconds(400);
+    auto waits = std::vector<absl::Duration> {};
+    auto handlers = handlersOf(nullptr);
+    handlers.handle_ = [&](const httplib::Request &request, httplib::Response &response, absl::Time receivedAt) {
+        waits.push_back(monotonicNow() - receivedAt);
+        absl::SleepFor(request.target == "/first" ? firstDuration : absl::ZeroDuration());
+        response.status = 200;
+    };
+    auto server = CallerServer(settingsOf(), handlers);
+    REQUIRE(server.start());
+    auto caller = connectTo(server);
+    send(caller, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(readReply(caller).response_.httpResponse_.status_ == 200);
+    CHECK(readReply(caller).response_.httpResponse_.status_ == 200);
+    server.stop();
+    REQUIRE(waits.size() == 2);
+    CHECK(waits[0] < firstDuration);
+    CHECK(waits[1] >= firstDuration);
+}
--- a/libraries/process/daemon.cpp
+++ b/libraries/process/daemon.cpp
@@ -128,8 +128,8 @@
                   std::make_shared<peer::PeerProcessor>(
                       std::make_shared<PeerHandler>(PeerServices { &membership_, &configurationWatcher_, &limits_, &requestHandler_, &controlPlaneTime_ })))
     , callerServer_(callerSettings(settings_.settings_),
-                    CallerHandlers { [this](const httplib::Request &request, httplib::Response &response) {
-                                        requestHandler_.handle(request, response);
+                    CallerHandlers { [this](const httplib::Request &request, httplib::Response &response, absl::Time receivedAt) {
+                                        requestHandler_.handle(request, response, receivedAt);
                                     },
                                      [this](const httplib::Request &request, httplib::Response &response) {
                                          lookupHandler_.handle(request, response);
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -511,12 +511,12 @@
 
 RequestHandler::~RequestHandler() = default;
 
-auto RequestHandler::handle(const httplib::Request &request, httplib::Response &response) -> void
+auto RequestHandler::handle(const httplib::Request &request, httplib::Response &response, absl::Time receivedAt) -> void
 {
     auto state = RequestState {};
     state.configuration_ = state_->services_.configuration_->get();
     state.requestId_ = state_->nextRequestId();
-    state.receivedAt_ = monotonicNow();
+    state.receivedAt_ = receivedAt;
     state.deadline_ = absl::InfiniteFuture();
     state.content_ = contentOf(request);
     setResponse(response, state_->serveAndLog(state));
--- a/libraries/process/requesthandler.h
+++ b/libraries/process/requesthandler.h
@@ -50,8 +50,8 @@
     RequestHandler(const RequestHandler &) = delete;
     auto operator=(const RequestHandler &) -> RequestHandler & = delete;
 
-    /** Handles one caller's request. Always fills in a complete response with X-Request-Outcome. */
-    auto handle(const httplib::Request &request, httplib::Response &response) -> void;
+    /** Handles one caller's request, which arrived at a monotonic time. Always fills in a complete response with X-Request-Outcome. */
+    auto handle(const httplib::Request &request, httplib::Response &response, absl::Time receivedAt) -> void;
 
     /** Handles a request that a peer forwarded because this host's run owns its idempotency key. */
     [[nodiscard]] auto handleForwarded(const peer::ForwardedRequest &request) -> peer::ForwardedAnswer;
--- a/libraries/process/requesthandlertest.cpp
+++ b/libraries/process/requesthandlertest.cpp
@@ -128,7 +128,11 @@
         freshness_.recordStoreResponse(monotonicNow());
     }
 
-    auto handle(const std::string &method, const std::string &target, const httplib::Headers &headers = {}, const std::string &body = "") -> httplib::Response
+    auto handle(const std::string &method,
+                const std::string &target,
+                const httplib::Headers &headers = {},
+                const std::string &body = "",
+                absl::Duration waitingTime = absl::ZeroDuration()) -> httplib::Response
     {
         auto request = httplib::Request {};
         request.method = method;
@@ -137,7 +141,7 @@
         request.headers.emplace("Host", "example");
         request.body = body;
         auto response = httplib::Response {};
-        handler_.handle(request, response);
+        handler_.handle(request, response, monotonicNow() - waitingTime);
         return response;
     }
 
@@ -223,6 +227,19 @@
     CHECK(requestCountOf(servers) == 0);
 }
 
+// Guards against running a request for a caller whose deadline passed before the request was read.
+TEST_CASE("a request whose deadline passed before it was handled is refused as not run")
+{
+    const auto servers = serversOf(1, replyOf(okResponse));
+    auto host = Host(configurationFor(servers));
+    const auto headers = httplib::Headers { { "X-Request-Timeout-Ms", "500" } };
+    CHECK(host.handle("GET", "/open", headers).status == 200);
+    const auto response = host.handle("GET", "/open", headers, "", absl::Seconds(1));
+    CHECK(response.status == 503);
+    CHECK(response.get_header_value("X-Request-Outcome") == "not-run");
+    CHECK(requestCountOf(servers) == 1);
+}
+
 // Guards against passing a caller's API key to a backend server, whether it was sent in a header, the query or a cookie.
 TEST_CASE("no backend server receives the API key")
 {
--- a/libraries/process/requestobservation.h
+++ b/libraries/process/requestobservation.h
@@ -15,7 +15,7 @@
     std::string organisation_;
     /** Empty when the request was not refused. */
     std::string refusalReason_;
-    /** From receipt of the whole request until its response is ready. */
+    /** From the arrival of the request until its response is ready. */
     absl::Duration duration_;
     /** Empty when no route matched. */
     std::string route_ = {};
