Report the age of the store's last answer under its own metric

Values were assigned to elements of the list by index, and the era had been inserted before one of them. They are computed where they are listed now. The new case of operatortest fails with the code before (era 0.05, age -1).

--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -267,15 +267,24 @@
     const auto now = monotonicNow();
     const auto view = state_.view();
     const auto lastStoreResponseAt = state_.lastStoreResponseAt();
+    const auto hasStoreResponse = lastStoreResponseAt != absl::InfinitePast();
     auto values = std::vector<MetricValue> {
-        { "lycheecleat_policy_version", "Version of the traffic policy in force", MetricKind::Gauge, {}, 0 },
+        { "lycheecleat_policy_version",
+          "Version of the traffic policy in force",
+          MetricKind::Gauge,
+          {},
+          view->policy_ ? static_cast<double>(view->policy_->policy().version_) : 0 },
         { "lycheecleat_records_revision",
           "Revision of the store up to which records are known",
           MetricKind::Gauge,
           {},
           static_cast<double>(view->asOf_.revision_) },
         { "lycheecleat_store_era", "Era of the store that the known records belong to", MetricKind::Gauge, {}, static_cast<double>(view->asOf_.era_) },
-        { "lycheecleat_store_age_seconds", "Time since the store last answered; -1 before it has", MetricKind::Gauge, {}, -1 },
+        { "lycheecleat_store_age_seconds",
+          "Time since the store last answered; -1 before it has",
+          MetricKind::Gauge,
+          {},
+          hasStoreResponse ? absl::ToDoubleSeconds(now - lastStoreResponseAt) : -1 },
         { "lycheecleat_requests_in_flight", "Requests being served", MetricKind::Gauge, {}, static_cast<double>(requestHandler_.inFlight()) },
         { "lycheecleat_hosts_ready", "Entry hosts that lookups may name", MetricKind::Gauge, {}, static_cast<double>(gossip_->readyHosts(now).size()) },
         { "lycheecleat_share_holders",
@@ -285,10 +294,6 @@
           static_cast<double>(gossip_->shareHolders(now).size()) },
         { "lycheecleat_process_cpu_seconds_total", "Processor time of the process", MetricKind::Counter, {}, absl::ToDoubleSeconds(processorTime()) },
     };
-    values[0].value_ = view->policy_ ? static_cast<double>(view->policy_->policy().version_) : 0;
-    if (lastStoreResponseAt != absl::InfinitePast()) {
-        values[2].value_ = absl::ToDoubleSeconds(now - lastStoreResponseAt);
-    }
     for (auto &value : signalMetrics(requestHandler_.signalCounts())) {
         values.push_back(std::move(value));
     }
--- a/tests/platform/operatortest.cpp
+++ b/tests/platform/operatortest.cpp
@@ -1,6 +1,7 @@
 #include "support/fleet.h"
 
 #include <doctest/doctest.h>
+#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <string>
@@ -65,3 +66,24 @@
     CHECK(explained.at("backends").size() == 4);
     CHECK(explained.at("version") == 1);
 }
+
+// Guards against a metric that reports the value of another one.
+TEST_CASE("the metrics of a host report its knowledge of the store")
+{
+    constexpr auto renewalInterval = 2.0;
+    auto fleet = Fleet();
+    const auto &host = fleet.hosts().front();
+    const auto ip = host.callerAddress_.substr(0, host.callerAddress_.find(':'));
+    auto client = httplib::Client("http://" + ip + metricsPort);
+    const auto page = client.Get("/metrics");
+    REQUIRE(page);
+    const auto valueOf = [&](const std::string &name) {
+        const auto begin = page->body.find("\n" + name + " ");
+        REQUIRE(begin != std::string::npos);
+        return std::stod(page->body.substr(begin + name.size() + 2));
+    };
+    CHECK(valueOf("lycheecleat_policy_version") == 1);
+    CHECK(valueOf("lycheecleat_store_era") == 1);
+    CHECK(valueOf("lycheecleat_store_age_seconds") >= 0);
+    CHECK(valueOf("lycheecleat_store_age_seconds") < 2 * renewalInterval);
+}
