Stop writing a long request once its caller has left

The caller is watched from the first byte on. The new case of backendpoolsignalstest fails with the code before (timed out after 3 s instead of abandoned after 0.1 s). Requests that may run once are written to the end, as before.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -247,8 +247,8 @@
         return std::move(*unsent);
     }
     const auto sentAt = monotonicNow();
-    const auto writeStatus = connection.write(message, call.deadline_);
     connection.watchCaller(call.repeatable_ ? call.callerSocket_ : -1);
+    const auto writeStatus = connection.write(message, call.deadline_);
     if (connection.bytesWritten() == bytesWrittenBefore) {
         return failure(ExchangeStatus::NotSent, "no byte could be written to the connection");
     }
--- a/libraries/connection/backendpoolsignalstest.cpp
+++ b/libraries/connection/backendpoolsignalstest.cpp
@@ -30,11 +30,14 @@
     return call;
 }
 
-/** A listener whose queue of new connections is full, so that no further connection to it is established or refused. */
+/**
+ * A listener that accepts no connection. Four connections are queued there: without room for more, no further one is established or refused; with room, a
+ * further one is established, and nothing reads from it.
+ */
 class UnresponsiveListener
 {
 public:
-    explicit UnresponsiveListener(const std::string &ip)
+    explicit UnresponsiveListener(const std::string &ip, int room = 0)
         : listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         auto address = sockaddr_in {};
@@ -42,7 +45,7 @@
         inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
         auto size = socklen_t { sizeof(address) };
         static_cast<void>(::bind(listener_.socket(), reinterpret_cast<const sockaddr *>(&address), size));
-        ::listen(listener_.socket(), 0);
+        ::listen(listener_.socket(), room);
         getsockname(listener_.socket(), reinterpret_cast<sockaddr *>(&address), &size);
         address_ = ip + ":" + std::to_string(ntohs(address.sin_port));
         for (auto &connection : queued_) {
@@ -132,6 +135,30 @@
     }
 }
 
+// Guards against sending the rest of a long request for a caller that has left.
+TEST_CASE("a repeatable request whose caller leaves while it is being written is abandoned at once")
+{
+    constexpr auto leavingAfter = absl::Milliseconds(100);
+    constexpr auto timeout = absl::Seconds(3);
+    constexpr auto bodyBytes = std::size_t { 32 } * 1024 * 1024;
+    // The system accepts the connection and a part of the body for it; nothing reads them.
+    const auto listener = UnresponsiveListener(testIp(9, 5), 8);
+    auto pool = BackendPool();
+    auto pair = makeConnectedPair(testIp(9, 6));
+    auto call = BackendCall { listener.address(), monotonicNow() + timeout, true };
+    call.callerSocket_ = pair.accepted_.socket();
+    auto caller = std::thread([&] {
+        absl::SleepFor(leavingAfter);
+        const auto closed = std::move(pair.caller_);
+    });
+    auto request = plainRequest();
+    request.body_ = std::string(bodyBytes, 'x');
+    const auto begun = monotonicNow();
+    CHECK(pool.exchange(call, request).status_ == ExchangeStatus::Abandoned);
+    CHECK(monotonicNow() - begun < timeout / 2);
+    caller.join();
+}
+
 // Guards against sending on a pooled connection for a caller that has left, against losing that connection, and against breaking off what may run only once.
 TEST_CASE("a caller that has left keeps its request from being sent, and a repeatable one from being completed")
 {
--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -175,8 +175,9 @@
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
             return TransferStatus::Failed;
         }
-        if (waitFor(socket_, POLLOUT, deadline) != TransferStatus::Done) {
-            return TransferStatus::TimedOut;
+        const auto waited = waitFor(socket_, POLLOUT, deadline, watchedCaller_);
+        if (waited != TransferStatus::Done) {
+            return waited;
         }
     }
     return TransferStatus::Done;
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -61,7 +61,7 @@
     /** Reads at least one more byte into the buffer. */
     [[nodiscard]] auto fill(absl::Time deadline) -> TransferStatus;
 
-    /** Makes later calls of fill return Abandoned once the peer of the given socket has closed its connection; -1 stops watching. */
+    /** Makes later waits of write and fill return Abandoned once the peer of the given socket has closed its connection; -1 stops watching. */
     auto watchCaller(int socket) -> void;
 
     /** Reads available bytes into the buffer without waiting; TimedOut when there are none. */
