Share the disruptions of hosts and store among platform tests

The test of backend servers that name a limit needs the same kills, freezes and store outages as backendsignalstest. They move to tests/platform/support, unchanged: the same random draws in the same order, the same bounds. No check changes.

--- a/tests/platform/backendsignalstest.cpp
+++ b/tests/platform/backendsignalstest.cpp
@@ -1,14 +1,12 @@
 #include "support/backgroundload.h"
+#include "support/disruptions.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
 #include <functional>
 #include <map>
-#include <random>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
@@ -34,29 +32,6 @@
 constexpr auto loadAfterFaults = std::chrono::seconds { 4 };
 constexpr auto callersPerPath = 3;
 
-/** A time in which a host was frozen or restarted, which excuses it. */
-struct Disruption
-{
-    std::string host_;
-    Clock::time_point begin_;
-    Clock::time_point end_;
-};
-
-/** Seeds to run: 1 and 2 by default; the range in SIGNAL_SEEDS="FIRST LAST". */
-auto seeds() -> std::vector<unsigned>
-{
-    auto first = 1U;
-    auto last = 2U;
-    if (const auto *text = std::getenv("SIGNAL_SEEDS")) {
-        std::istringstream(text) >> first >> last;
-    }
-    auto selected = std::vector<unsigned> {};
-    for (auto seed = first; seed <= last; ++seed) {
-        selected.push_back(seed);
-    }
-    return selected;
-}
-
 /** An arrival with the host that sent the request and the time at which its caller sent it. */
 struct HostArrival
 {
@@ -73,13 +48,6 @@
     std::vector<Disruption> disruptions_;
 };
 
-auto isDisrupted(const Observation &observation, const std::string &host, Clock::time_point begin, Clock::time_point end) -> bool
-{
-    return std::any_of(observation.disruptions_.begin(), observation.disruptions_.end(), [&](const Disruption &disruption) {
-        return disruption.host_ == host && disruption.begin_ < end && disruption.end_ > begin;
-    });
-}
-
 auto hostArrivals(const Observation &observation) -> std::vector<HostArrival>
 {
     auto callsById = std::map<std::string, const FleetCall *> {};
@@ -120,7 +88,7 @@
     for (const auto &arrival : arrivals) {
         const auto &times = passedOn[{ arrival.host_, arrival.arrival_.instance_ }];
         const auto isViolation = std::any_of(times.begin(), times.end(), [&](Clock::time_point time) {
-            return arrival.sentAt_ > time + drain && !isDisrupted(observation, arrival.host_, time, arrival.arrival_.at_);
+            return arrival.sentAt_ > time + drain && !isDisrupted(observation.disruptions_, arrival.host_, time, arrival.arrival_.at_);
         });
         violations += isViolation ? describeArrival(arrival) : "";
     }
@@ -142,7 +110,7 @@
             const auto isSamePair = arrival.host_ == rejected.host_ && arrival.arrival_.instance_ == rejected.arrival_.instance_;
             return isSamePair && arrival.arrival_.at_ > begin + pauseSettling && arrival.arrival_.at_ < end;
         });
-        if (count > maximumArrivalsInPause && !isDisrupted(observation, rejected.host_, begin, end)) {
+        if (count > maximumArrivalsInPause && !isDisrupted(observation.disruptions_, rejected.host_, begin, end)) {
             violations += std::to_string(count) + " in the pause after " + describeArrival(rejected);
         }
     }
@@ -155,7 +123,7 @@
 public:
     SignalInjector(Fleet &fleet, unsigned seed)
         : fleet_(fleet)
-        , random_(seed)
+        , disruptor_(fleet, seed)
     {
     }
 
@@ -174,34 +142,29 @@
                     pauseAllServers();
                 },
                 [this] {
-                    disruptHost();
+                    disruptor_.disruptHost();
                 },
                 [this] {
-                    loseStore();
+                    disruptor_.loseOrRestoreStore();
                 },
             };
-            actions[randomBelow(actions.size())]();
-            std::this_thread::sleep_for(std::chrono::milliseconds { 50 + randomBelow(400) });
+            actions[disruptor_.randomBelow(actions.size())]();
+            std::this_thread::sleep_for(std::chrono::milliseconds { 50 + disruptor_.randomBelow(400) });
         }
         fleet_.store().setFault("", StoreFault::None);
     }
 
     [[nodiscard]] auto disruptions() const -> const std::vector<Disruption> &
     {
-        return disruptions_;
+        return disruptor_.disruptions();
     }
 
 private:
-    auto randomBelow(std::size_t count) -> std::size_t
-    {
-        return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
-    }
-
     // The first server leaves and the second sends bad headers throughout; both keep doing so.
     auto pauseServer() -> void
     {
         constexpr auto firstPausing = std::size_t { 2 };
-        pause(firstPausing + randomBelow(fleet_.backends().size() - firstPausing), 1);
+        pause(firstPausing + disruptor_.randomBelow(fleet_.backends().size() - firstPausing), 1);
     }
 
     auto pauseAllServers() -> void
@@ -211,40 +174,18 @@
 
     auto pause(std::size_t first, std::size_t count) -> void
     {
-        const auto seconds = std::to_string(1 + randomBelow(3));
+        const auto seconds = std::to_string(1 + disruptor_.randomBelow(3));
         for (auto index = first; index < first + count; ++index) {
             fleet_.backends()[index]->setSignals({ "", seconds });
         }
-        std::this_thread::sleep_for(std::chrono::milliseconds { 50 + randomBelow(300) });
+        std::this_thread::sleep_for(std::chrono::milliseconds { 50 + disruptor_.randomBelow(300) });
         for (auto index = first; index < first + count; ++index) {
             fleet_.backends()[index]->setSignals({ index == 1 ? "yes" : "", "" });
         }
     }
 
-    auto disruptHost() -> void
-    {
-        auto &host = fleet_.hosts()[randomBelow(fleet_.hosts().size())];
-        const auto begin = Clock::now();
-        if (randomBelow(2) == 0) {
-            host.process_->suspend();
-            std::this_thread::sleep_for(std::chrono::milliseconds { 100 + randomBelow(900) });
-            host.process_->resume();
-        } else {
-            host.process_->kill();
-            fleet_.startHost(host);
-        }
-        disruptions_.push_back({ host.name_, begin, Clock::now() });
-    }
-
-    auto loseStore() -> void
-    {
-        const auto isBack = randomBelow(2) == 0;
-        fleet_.store().setFault("", isBack ? StoreFault::None : StoreFault::Unavailable);
-    }
-
     Fleet &fleet_;
-    std::mt19937 random_;
-    std::vector<Disruption> disruptions_;
+    Disruptor disruptor_;
 };
 
 auto countArrivals(const Observation &observation, const std::string &instance, Clock::time_point after) -> std::ptrdiff_t
@@ -260,7 +201,7 @@
 // open connections, a store that is away, and hosts that are frozen or restarted; and against losing a server that sends malformed headers.
 TEST_CASE("servers that leave or pause are left alone beside kills, freezes, restarts and a store that is away")
 {
-    for (const auto seed : seeds()) {
+    for (const auto seed : seedsFromEnvironment("SIGNAL_SEEDS")) {
         CAPTURE(seed);
         auto fleet = Fleet();
         auto repeatableLoad = BackgroundLoad(fleet, "/read/a", "key-free", callersPerPath);
