--- a/tests/platform/support/platformbackend.cpp
+++ b/tests/platform/support/platformbackend.cpp
@@ -238,6 +238,9 @@
     if (!signals.leaving_.empty()) {
         response.headers_.emplace_back("Server-Leaving", signals.leaving_);
     }
+    if (!signals.limit_.empty()) {
+        response.headers_.emplace_back("Server-Limit", signals.limit_);
+    }
     return response;
 }
 
--- a/tests/platform/support/platformbackend.h
+++ b/tests/platform/support/platformbackend.h
@@ -39,6 +39,8 @@
     std::string leaving_;
     /** Rejects every request with status 503 and this Retry-After, without running it. */
     std::string retryAfter_;
+    /** Value of Server-Limit in every response. */
+    std::string limit_ = {};
 };
 
 /** Arrival of a request at a backend server, and the signals in the response to it. */
