Read the limit that a backend server names, and log it

A stricter limit holds at once; a looser one or none only from a response to a later request, since responses overtake each other. Values that are no plain decimal number up to a million are ignored, counted and logged. No request is decided by it yet.

--- a/libraries/process/backendselector.cpp
+++ b/libraries/process/backendselector.cpp
@@ -177,14 +177,16 @@
     recordCancelled(conditionIn(shard.incarnations_, backend));
 }
 
-auto BackendSelector::mark(absl::Time now, const FleetBackend &backend, const BackendSignals &signals, absl::Duration returnDelay) -> MarkChange
+auto BackendSelector::mark(absl::Time now, const FleetBackend &backend, const BackendSignals &signals, absl::Time sentAt, absl::Duration returnDelay)
+    -> MarkChange
 {
     ignoredHeaders_ += static_cast<std::int64_t>(signals.problems_.size());
     auto &shard = shardOf(backend);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    const auto change = recordSignals(conditionIn(shard.incarnations_, backend), now, signals, returnDelay);
+    const auto change = recordSignals(conditionIn(shard.incarnations_, backend), now, signals, sentAt, returnDelay);
     leavingMarks_ += change.beganLeaving_ ? 1 : 0;
     pauseMarks_ += change.pausedUntil_ ? 1 : 0;
+    limits_ += change.limit_ && !change.limit_->before_ ? 1 : 0;
     return change;
 }
 
@@ -247,7 +249,7 @@
 
 auto BackendSelector::signalCounts() const -> SignalCounts
 {
-    return { leavingMarks_, pauseMarks_, ignoredHeaders_, keptFromLeaving_, keptFromPaused_, cancelled_, sentDespiteMark_ };
+    return { leavingMarks_, pauseMarks_, limits_, ignoredHeaders_, keptFromLeaving_, keptFromPaused_, cancelled_, sentDespiteMark_ };
 }
 
 }
--- a/libraries/process/backendselector.h
+++ b/libraries/process/backendselector.h
@@ -75,6 +75,8 @@
 {
     std::int64_t leavingMarks_ = 0;
     std::int64_t pauseMarks_ = 0;
+    /** Limits that began. */
+    std::int64_t limits_ = 0;
     std::int64_t ignoredHeaders_ = 0;
     /** Choices in which a server was passed over because it is leaving, paused or returning from a pause. */
     std::int64_t keptFromLeaving_ = 0;
@@ -128,7 +130,7 @@
     auto release(const FleetBackend &backend) -> void;
 
     /** Records the signals of a response to a request that was sent at a time. The pause is extended by the host's delay of return. */
-    auto mark(absl::Time now, const FleetBackend &backend, const BackendSignals &signals, absl::Duration returnDelay) -> MarkChange;
+    auto mark(absl::Time now, const FleetBackend &backend, const BackendSignals &signals, absl::Time sentAt, absl::Duration returnDelay) -> MarkChange;
 
     /** Records the result of an exchange whose request was sent at a time, if at all, and is then no longer in flight. */
     auto end(absl::Time now, const FleetBackend &backend, const ExchangeResult &result, absl::Time sentAt = absl::InfinitePast()) -> void;
@@ -171,6 +173,7 @@
     mutable std::array<Shard, shardCount> shards_;
     std::atomic<std::int64_t> leavingMarks_ = 0;
     std::atomic<std::int64_t> pauseMarks_ = 0;
+    std::atomic<std::int64_t> limits_ = 0;
     std::atomic<std::int64_t> ignoredHeaders_ = 0;
     std::atomic<std::int64_t> keptFromLeaving_ = 0;
     std::atomic<std::int64_t> keptFromPaused_ = 0;
--- a/libraries/process/backendselectortest.cpp
+++ b/libraries/process/backendselectortest.cpp
@@ -29,12 +29,12 @@
 
 auto leaving() -> BackendSignals
 {
-    return { true, std::nullopt, {} };
+    return { .isLeaving_ = true };
 }
 
 auto paused() -> BackendSignals
 {
-    return { false, pauseTime, {} };
+    return { .pause_ = pauseTime };
 }
 
 /** Name of the server that is chosen; empty when none is. The request ends at once. */
@@ -67,12 +67,12 @@
     for (const auto &signals : { leaving(), paused() }) {
         auto selector = BackendSelector {};
         CHECK(chosen(selector, start, ranked) == "first");
-        selector.mark(start, first, signals, absl::ZeroDuration());
+        selector.mark(start, first, signals, start, absl::ZeroDuration());
         CHECK(chosen(selector, start, ranked) == "second");
         CHECK(chosen(selector, start, ranked, { "second" }) == "");
         selector.end(start, second, { ExchangeOutcome::Unreachable });
         CHECK(chosen(selector, start, ranked) == "second");
-        selector.mark(start, second, signals, absl::ZeroDuration());
+        selector.mark(start, second, signals, start, absl::ZeroDuration());
         CHECK(chosen(selector, start, ranked) == "");
         CHECK_FALSE(selector.maySend(start, first));
     }
@@ -84,9 +84,9 @@
     auto selector = BackendSelector {};
     const auto before = backendNamed("b", 1);
     const auto after = backendNamed("b", 2);
-    selector.mark(start, before, leaving(), absl::ZeroDuration());
+    selector.mark(start, before, leaving(), start, absl::ZeroDuration());
     CHECK(chosen(selector, start, { &after }) == "b");
-    selector.mark(start, after, paused(), absl::ZeroDuration());
+    selector.mark(start, after, paused(), start, absl::ZeroDuration());
     selector.end(start, before, { ExchangeOutcome::Responded });
     CHECK(chosen(selector, start, { &before }) == "");
     CHECK(chosen(selector, start, { &after }) == "");
@@ -99,7 +99,7 @@
 {
     auto selector = BackendSelector {};
     const auto backend = backendNamed("b");
-    selector.mark(start, backend, leaving(), absl::ZeroDuration());
+    selector.mark(start, backend, leaving(), start, absl::ZeroDuration());
     const auto day = start + absl::Hours(24);
     CHECK(selector.endMarks(day, viewOf({ backend })).empty());
     CHECK(selector.endMarks(day + absl::Minutes(9), viewOf({ backendNamed("b", 2) })).empty());
@@ -117,7 +117,7 @@
 {
     auto selector = BackendSelector {};
     const auto backend = backendNamed("b");
-    selector.mark(start, backend, paused(), absl::ZeroDuration());
+    selector.mark(start, backend, paused(), start, absl::ZeroDuration());
     const auto view = viewOf({ backend });
     CHECK(selector.endMarks(start + absl::Seconds(1), view).empty());
     const auto ended = selector.endMarks(start + pauseTime, view);
@@ -133,10 +133,10 @@
     const auto first = backendNamed("first");
     const auto second = backendNamed("second");
     const auto ranked = std::vector<const FleetBackend *> { &first, &second };
-    selector.mark(start, first, leaving(), absl::ZeroDuration());
-    selector.mark(start, first, leaving(), absl::ZeroDuration());
-    selector.mark(start, second, paused(), absl::ZeroDuration());
-    selector.mark(start, second, { false, std::nullopt, { { "Retry-After", "x", SignalProblemReason::NotANumberOfSeconds } } }, absl::ZeroDuration());
+    selector.mark(start, first, leaving(), start, absl::ZeroDuration());
+    selector.mark(start, first, leaving(), start, absl::ZeroDuration());
+    selector.mark(start, second, paused(), start, absl::ZeroDuration());
+    selector.mark(start, second, { .problems_ = { { "Retry-After", "x", SignalProblemReason::NotANumberOfSeconds } } }, start, absl::ZeroDuration());
     CHECK(chosen(selector, start, ranked) == "");
     selector.end(start, second, { ExchangeOutcome::Overloaded }, start + absl::Milliseconds(1));
     selector.cancel(second);
@@ -159,8 +159,8 @@
     const auto ranked = std::vector<const FleetBackend *> { &first, &second };
     const auto none = std::vector<std::string> {};
     const auto firstTried = std::vector<std::string> { "first" };
-    selector.mark(start, first, paused(), absl::ZeroDuration());
-    selector.mark(start, second, leaving(), absl::ZeroDuration());
+    selector.mark(start, first, paused(), start, absl::ZeroDuration());
+    selector.mark(start, second, leaving(), start, absl::ZeroDuration());
     const auto untried = selector.returnOf(start, { ranked, none }, noColdLimit);
     CHECK(untried.servedAt_ == start + pauseTime);
     CHECK(untried.returnAt_ == start + pauseTime);
--- a/libraries/process/backendsignalreport.cpp
+++ b/libraries/process/backendsignalreport.cpp
@@ -21,6 +21,11 @@
     return { { "request", requestId }, { "backend", registration.server_.name_ }, { "incarnation", fmt::format("{}", registration.incarnation_) } };
 }
 
+auto limitText(const std::optional<double> &requestsPerSecond) -> std::string
+{
+    return requestsPerSecond ? fmt::format("{}", *requestsPerSecond) : "none";
+}
+
 auto counter(std::string name, std::string help, std::map<std::string, std::string> labels, std::int64_t value) -> MetricValue
 {
     return { std::move(name), std::move(help), MetricKind::Counter, std::move(labels), static_cast<double>(value) };
@@ -44,6 +49,12 @@
         fields.push_back({ "until", "the end of the incarnation" });
         logLine(wallNow(), LogLevel::Warning, markedEvent, fields);
     }
+    if (change.limit_) {
+        auto fields = identityFields(requestId, backend);
+        fields.push_back({ "limit", limitText(change.limit_->after_) });
+        fields.push_back({ "limit_before", limitText(change.limit_->before_) });
+        logLine(wallNow(), LogLevel::Warning, "backend_limit", fields);
+    }
     if (change.pausedUntil_) {
         auto fields = identityFields(requestId, backend);
         fields.push_back({ "signal", std::string(restrictionName(BackendRestriction::Paused)) });
@@ -67,12 +78,13 @@
 auto signalMetrics(const SignalCounts &counts) -> std::vector<MetricValue>
 {
     constexpr auto marks = "lycheecleat_backend_marks_total";
-    constexpr auto marksHelp = "Backend servers that announced that they leave, or asked for a pause";
+    constexpr auto marksHelp = "Backend servers that announced that they leave, asked for a pause or named a limit";
     constexpr auto kept = "lycheecleat_requests_kept_away_total";
     constexpr auto keptHelp = "Choices that passed over a backend server because of its signal";
     return {
         counter(marks, marksHelp, { { "signal", "leaving" } }, counts.leavingMarks_),
         counter(marks, marksHelp, { { "signal", "paused" } }, counts.pauseMarks_),
+        counter(marks, marksHelp, { { "signal", "limited" } }, counts.limits_),
         counter("lycheecleat_backend_signals_ignored_total", "Headers of backend servers that were not used as received", {}, counts.ignoredHeaders_),
         counter(kept, keptHelp, { { "signal", "leaving" } }, counts.keptFromLeaving_),
         counter(kept, keptHelp, { { "signal", "paused" } }, counts.keptFromPaused_),
--- a/libraries/process/fleetbackendchoice.cpp
+++ b/libraries/process/fleetbackendchoice.cpp
@@ -140,14 +140,11 @@
     if (response.status_ == 0) {
         return;
     }
-    const auto signals = decodeBackendSignals(response.status_, response.headers_, services_.protocol_.leaving_);
-    if (signals == BackendSignals {}) {
-        return;
-    }
+    const auto signals = decodeBackendSignals(response.status_, response.headers_, { services_.protocol_.leaving_, services_.protocol_.limit_ });
     const auto now = monotonicNow();
     const auto &backend = *state.choice_.backend_;
     const auto delay = signals.pause_ ? returnDelay(*signals.pause_, services_.shareHolders_(now), selfHash(), backend.hash_) : absl::ZeroDuration();
-    const auto change = selector_.mark(now, backend, signals, delay);
+    const auto change = selector_.mark(now, backend, signals, state.writtenAt_, delay);
     logSignals(now, state.requestId_, backend, signals, change);
     if (change.beganLeaving_) {
         pool_.closeIdle(backend.registration_.server_.address_);
--- a/libraries/request/backendadmissiontest.cpp
+++ b/libraries/request/backendadmissiontest.cpp
@@ -17,12 +17,20 @@
 
 auto leaving() -> BackendSignals
 {
-    return { true, std::nullopt, {} };
+    return { .isLeaving_ = true };
+}
+
+auto limited(std::optional<double> requestsPerSecond) -> BackendSignals
+{
+    auto signals = BackendSignals {};
+    signals.isLimitKnown_ = true;
+    signals.requestsPerSecond_ = requestsPerSecond;
+    return signals;
 }
 
 auto paused(absl::Duration duration = pauseTime) -> BackendSignals
 {
-    return { false, duration, {} };
+    return { .pause_ = duration };
 }
 
 auto respond(BackendCondition &condition, absl::Time now) -> void
@@ -50,10 +58,10 @@
     using enum BackendRestriction;
     const auto nothing = [](BackendCondition &) {};
     const auto markLeaving = [](BackendCondition &condition) {
-        recordSignals(condition, start, leaving(), absl::ZeroDuration());
+        recordSignals(condition, start, leaving(), start, absl::ZeroDuration());
     };
     const auto markPaused = [](BackendCondition &condition) {
-        recordSignals(condition, start, paused(), absl::ZeroDuration());
+        recordSignals(condition, start, paused(), start, absl::ZeroDuration());
     };
     const auto eject = [](BackendCondition &condition) {
         recordExchange(condition, start, { ExchangeOutcome::Unreachable });
@@ -129,7 +137,7 @@
         { "a later, shorter pause",
           [&](BackendCondition &condition) {
               markPaused(condition);
-              recordSignals(condition, start, paused(absl::Seconds(1)), absl::ZeroDuration());
+              recordSignals(condition, start, paused(absl::Seconds(1)), start, absl::ZeroDuration());
           },
           infinite,
           {},
@@ -138,7 +146,7 @@
           start + pauseTime },
         { "delayed return",
           [&](BackendCondition &condition) {
-              recordSignals(condition, start, paused(), absl::Seconds(1));
+              recordSignals(condition, start, paused(), start, absl::Seconds(1));
           },
           infinite,
           {},
@@ -181,7 +189,7 @@
 TEST_CASE("after a pause the requests in flight grow by one with each response")
 {
     auto condition = BackendCondition {};
-    recordSignals(condition, start, paused(), absl::ZeroDuration());
+    recordSignals(condition, start, paused(), start, absl::ZeroDuration());
     const auto returned = start + pauseTime;
     auto sent = 0;
     const auto sendAll = [&] {
@@ -208,7 +216,7 @@
 {
     for (const auto outcome : { ExchangeOutcome::Overloaded, ExchangeOutcome::Failed }) {
         auto condition = BackendCondition {};
-        recordSignals(condition, start, paused(), absl::ZeroDuration());
+        recordSignals(condition, start, paused(), start, absl::ZeroDuration());
         const auto returned = start + pauseTime;
         recordSend(condition, returned);
         recordExchange(condition, returned, { outcome });
@@ -265,12 +273,18 @@
         { "paused, then leaving", paused(), leaving(), later, { true, std::nullopt } },
         { "leaving, then paused", leaving(), paused(), later, { false, start + later + pauseTime } },
         { "paused anew", paused(), paused(), absl::Minutes(1), { false, start + absl::Minutes(1) + pauseTime } },
+        { "limited", {}, limited(4), later, { false, std::nullopt, LimitChange { std::nullopt, 4 } } },
+        { "limited again", limited(4), limited(4), later, {} },
+        { "nearly the same limit", limited(4), limited(3.8), later, {} },
+        { "lower limit", limited(4), limited(2), later, { false, std::nullopt, LimitChange { 4, 2 } } },
+        { "limit named no more", limited(4), limited(std::nullopt), later, {} },
+        { "unusable limit", limited(4), {}, later, {} },
     };
     for (const auto &changeCase : cases) {
         CAPTURE(changeCase.title_);
         auto condition = BackendCondition {};
-        recordSignals(condition, start, changeCase.first_, absl::ZeroDuration());
-        CHECK(recordSignals(condition, start + changeCase.between_, changeCase.second_, absl::ZeroDuration()) == changeCase.expected_);
+        recordSignals(condition, start, changeCase.first_, start, absl::ZeroDuration());
+        CHECK(recordSignals(condition, start + changeCase.between_, changeCase.second_, start, absl::ZeroDuration()) == changeCase.expected_);
     }
 }
 
@@ -278,7 +292,7 @@
 TEST_CASE("a request counts as sent despite a mark only between the mark and its end")
 {
     auto condition = BackendCondition {};
-    recordSignals(condition, start, paused(), absl::ZeroDuration());
+    recordSignals(condition, start, paused(), start, absl::ZeroDuration());
     CHECK_FALSE(wasSentDespiteMark(condition, absl::InfinitePast()));
     CHECK_FALSE(wasSentDespiteMark(condition, start));
     CHECK(wasSentDespiteMark(condition, start + absl::Milliseconds(1)));
@@ -286,7 +300,7 @@
     CHECK_FALSE(endPause(condition, start + absl::Seconds(1)));
     CHECK(endPause(condition, start + pauseTime));
     CHECK_FALSE(endPause(condition, start + pauseTime));
-    recordSignals(condition, start, leaving(), absl::ZeroDuration());
+    recordSignals(condition, start, leaving(), start, absl::ZeroDuration());
     CHECK(wasSentDespiteMark(condition, start + absl::Hours(1)));
 }
 
--- a/libraries/request/backendcondition.cpp
+++ b/libraries/request/backendcondition.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace lycheecleat
 {
@@ -59,6 +60,9 @@
 /** An extension of a pause by less than this is not a change, since all requests in flight may be rejected in one burst. */
 constexpr auto minimumExtension = absl::Milliseconds(500);
 
+/** Smallest relative change of a limit that is reported. */
+constexpr auto reportedLimitChange = 0.1;
+
 auto eject(BackendCondition &condition, absl::Time now) -> void
 {
     condition.needsProbe_ = true;
@@ -148,9 +152,20 @@
     condition.inFlight_ = std::max(0, condition.inFlight_ - 1);
 }
 
-auto recordSignals(BackendCondition &condition, absl::Time now, const BackendSignals &signals, absl::Duration returnDelay) -> MarkChange
+auto recordLimit(BackendCondition &condition, const LimitStatement &statement) -> std::optional<LimitChange>
+{
+    const auto before = std::exchange(condition.limit_, statement).requestsPerSecond_;
+    const auto after = statement.requestsPerSecond_;
+    const auto isSmall = before && after && std::abs(*after - *before) < reportedLimitChange * *before;
+    return before == after || isSmall ? std::nullopt : std::optional(LimitChange { before, after });
+}
+
+auto recordSignals(BackendCondition &condition, absl::Time now, const BackendSignals &signals, absl::Time sentAt, absl::Duration returnDelay) -> MarkChange
 {
     auto change = MarkChange {};
+    if (signals.isLimitKnown_) {
+        change.limit_ = recordLimit(condition, statementAfterResponse(condition.limit_, signals.requestsPerSecond_, sentAt, now));
+    }
     if (signals.isLeaving_ && !condition.leavingSince_) {
         condition.leavingSince_ = now;
         change.beganLeaving_ = true;
--- a/libraries/request/backendcondition.h
+++ b/libraries/request/backendcondition.h
@@ -1,6 +1,7 @@
 /** Passive health and load tracking of one backend server by one host: outlier ejection, stall detection, expected wait and cold-start rate limit. */
 #pragma once
 
+#include "request/backendlimit.h"
 #include "request/backendsignals.h"
 
 #include <absl/time/time.h>
@@ -51,6 +52,8 @@
     absl::Time pausedUntil_ = absl::InfinitePast();
     /** Requests that may be in flight after a pause; 0 when there is no such limit. Grows by one with each response (slow start). */
     int returnWindow_ = 0;
+    /** What the server last said about its limit. Holds as long as the incarnation. */
+    LimitStatement limit_;
     /** Requests of this host that have been sent and have not ended. */
     int inFlight_ = 0;
     /** Time of the last response, or of the last request sent while no other was in flight, whichever is later. The stall timeout starts then. */
@@ -100,21 +103,35 @@
 /** Records that a request that was recorded by recordSend is not sent after all. */
 auto recordCancelled(BackendCondition &condition) -> void;
 
+/** A change of a backend server's limit, in requests a second; none stands for no limit. */
+struct LimitChange
+{
+    std::optional<double> before_;
+    std::optional<double> after_;
+
+    auto operator==(const LimitChange &other) const -> bool = default;
+};
+
 /** What signals changed about a backend server. */
 struct MarkChange
 {
     bool beganLeaving_ = false;
     /** Set when a pause began, or was extended by more than the delay between responses of the same burst. */
     std::optional<absl::Time> pausedUntil_ = std::nullopt;
+    /** Set when a limit began, ended or changed by a tenth or more. */
+    std::optional<LimitChange> limit_ = std::nullopt;
 
     auto operator==(const MarkChange &other) const -> bool = default;
 };
 
 /**
- * Records the signals of a response. A pause ends returnDelay later than the server asked, so that the hosts return one after another. The latest end of
- * several pauses holds.
+ * Records the signals of a response to a request that was sent at a time. A pause ends returnDelay later than the server asked, so that the hosts return one
+ * after another. The latest end of several pauses holds.
  */
-auto recordSignals(BackendCondition &condition, absl::Time now, const BackendSignals &signals, absl::Duration returnDelay) -> MarkChange;
+auto recordSignals(BackendCondition &condition, absl::Time now, const BackendSignals &signals, absl::Time sentAt, absl::Duration returnDelay) -> MarkChange;
+
+/** Records a statement about the server's limit. */
+auto recordLimit(BackendCondition &condition, const LimitStatement &statement) -> std::optional<LimitChange>;
 
 /** Clears a pause that has ended; false when there is none. The limit on requests in flight after it stays. */
 auto endPause(BackendCondition &condition, absl::Time now) -> bool;
--- a/libraries/request/backendsignals.cpp
+++ b/libraries/request/backendsignals.cpp
@@ -63,6 +63,38 @@
     signals.isLeaving_ = true;
 }
 
+// Digits with at most one point among them; signs, exponents and words such as "nan" are no decimal number here.
+auto isDecimalNumber(std::string_view text) -> bool
+{
+    const auto isAllowed = std::all_of(text.begin(), text.end(), [](char character) {
+        return absl::ascii_isdigit(static_cast<unsigned char>(character)) || character == '.';
+    });
+    return isAllowed && std::count(text.begin(), text.end(), '.') <= 1 && text.find_first_of("0123456789") != std::string_view::npos;
+}
+
+auto decodeLimit(BackendSignals &signals, const HeaderReading &reading, std::string_view header) -> void
+{
+    if (!reading.isPresent_) {
+        signals.isLimitKnown_ = true;
+        return;
+    }
+    if (reading.isConflicting_) {
+        addProblem(signals, header, reading.value_, SignalProblemReason::ConflictingValues);
+        return;
+    }
+    auto requestsPerSecond = 0.0;
+    if (!isDecimalNumber(reading.value_) || !absl::SimpleAtod(std::string(reading.value_), &requestsPerSecond)) {
+        addProblem(signals, header, reading.value_, SignalProblemReason::NotADecimalNumber);
+        return;
+    }
+    if (requestsPerSecond > maximumLimit) {
+        addProblem(signals, header, reading.value_, SignalProblemReason::OutOfRange);
+        return;
+    }
+    signals.isLimitKnown_ = true;
+    signals.requestsPerSecond_ = requestsPerSecond;
+}
+
 auto decodePause(BackendSignals &signals, const HeaderReading &reading, int status) -> void
 {
     if (status != unavailableStatus) {
@@ -98,6 +130,8 @@
     switch (reason) {
     case SignalProblemReason::NotANumberOfSeconds:
         return "not a whole number of seconds";
+    case SignalProblemReason::NotADecimalNumber:
+        return "not a decimal number";
     case SignalProblemReason::OutOfRange:
         return "out of range";
     case SignalProblemReason::AboveMaximumPause:
@@ -114,16 +148,26 @@
     return "unknown";
 }
 
-auto decodeBackendSignals(int status, const HeaderFields &headers, std::string_view leavingHeader) -> BackendSignals
+auto decodeBackendSignals(int status, const HeaderFields &headers, const SignalHeaders &names) -> BackendSignals
 {
-    const auto leaving = leavingHeader.empty() ? HeaderReading {} : readHeader(headers, leavingHeader);
+    const auto read = [&](std::string_view name) {
+        return name.empty() ? HeaderReading {} : readHeader(headers, name);
+    };
+    const auto isFromOtherServer = status == misdirectedStatus;
+    const auto leaving = read(names.leaving_);
+    const auto limit = read(names.limit_);
     const auto retryAfter = readHeader(headers, retryAfterHeader);
     auto signals = BackendSignals {};
-    if (status == misdirectedStatus && leaving.isPresent_) {
-        addProblem(signals, leavingHeader, leaving.value_, SignalProblemReason::FromOtherServer);
+    for (const auto &[reading, name] : { std::pair(leaving, names.leaving_), std::pair(limit, names.limit_) }) {
+        if (isFromOtherServer && reading.isPresent_) {
+            addProblem(signals, name, reading.value_, SignalProblemReason::FromOtherServer);
+        }
+    }
+    if (!isFromOtherServer && leaving.isPresent_) {
+        decodeLeaving(signals, leaving, names.leaving_);
     }
-    if (status != misdirectedStatus && leaving.isPresent_) {
-        decodeLeaving(signals, leaving, leavingHeader);
+    if (!isFromOtherServer && !names.limit_.empty()) {
+        decodeLimit(signals, limit, names.limit_);
     }
     if (retryAfter.isPresent_) {
         decodePause(signals, retryAfter, status);
--- a/libraries/request/backendsignals.h
+++ b/libraries/request/backendsignals.h
@@ -1,4 +1,4 @@
-/** Decodes what a backend server's response says about further requests to it: that the server is leaving, or that it wants none for a time. */
+/** Decodes what a backend server's response says about further requests to it: that the server is leaving, wants none for a time, or takes so many a second. */
 #pragma once
 
 #include "request/httpfields.h"
@@ -16,9 +16,13 @@
 /** Longer pauses are shortened to this, so that a wrong value doesn't keep a server out for hours. */
 inline constexpr auto maximumPause = absl::Minutes(10);
 
+/** Requests a second above which a limit is not used, since no server reaches them. */
+inline constexpr auto maximumLimit = 1e6;
+
 /** Why a header is ignored, or its value changed. */
 enum class SignalProblemReason {
     NotANumberOfSeconds,
+    NotADecimalNumber,
     OutOfRange,
     /** Shortened to maximumPause; the pause holds. */
     AboveMaximumPause,
@@ -50,15 +54,25 @@
     bool isLeaving_ = false;
     /** Time from the response during which the server wants no request; above zero. */
     std::optional<absl::Duration> pause_ = std::nullopt;
+    /** Whether the response tells if the server has a limit; not if it is from another server or the header is not usable. */
+    bool isLimitKnown_ = false;
+    /** Requests a second that the server takes from all hosts together; none when it names no limit. */
+    std::optional<double> requestsPerSecond_ = std::nullopt;
     std::vector<SignalProblem> problems_ = {};
 
     auto operator==(const BackendSignals &other) const -> bool = default;
 };
 
-/**
- * Decodes the signals in the head of a response. leavingHeader is the deployment's header by which a leaving server announces itself, with the value 1;
- * empty when there is none. The pause is Retry-After in whole seconds on a response with status 503.
- */
-[[nodiscard]] auto decodeBackendSignals(int status, const HeaderFields &headers, std::string_view leavingHeader) -> BackendSignals;
+/** Names of a deployment's headers for signals; empty when there is no such header. */
+struct SignalHeaders
+{
+    /** A leaving server announces itself by the value 1. */
+    std::string_view leaving_;
+    /** A server in need names the requests a second that it takes from all hosts together, as a decimal number. */
+    std::string_view limit_;
+};
+
+/** Decodes the signals in the head of a response. The pause is Retry-After in whole seconds on a response with status 503. */
+[[nodiscard]] auto decodeBackendSignals(int status, const HeaderFields &headers, const SignalHeaders &names) -> BackendSignals;
 
 }
--- a/libraries/request/backendsignalstest.cpp
+++ b/libraries/request/backendsignalstest.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr auto leavingHeader = "X-Leaving";
+constexpr auto limitHeader = "X-Limit";
 
 struct SignalCase
 {
@@ -64,7 +65,7 @@
     };
     for (const auto &signalCase : cases) {
         CAPTURE(signalCase.title_);
-        const auto signals = decodeBackendSignals(signalCase.status_, signalCase.headers_, leavingHeader);
+        const auto signals = decodeBackendSignals(signalCase.status_, signalCase.headers_, { leavingHeader, limitHeader });
         CHECK(signals.isLeaving_ == signalCase.isLeaving_);
         CHECK(signals.pause_ == signalCase.pause_);
         CHECK(signals.problems_.size() == (signalCase.problem_ ? 1 : 0));
@@ -77,7 +78,7 @@
 // Guards against log lines of unbounded length.
 TEST_CASE("the value of an ignored header is cut off in the report")
 {
-    const auto signals = decodeBackendSignals(200, { { leavingHeader, std::string(10000, 'x') } }, leavingHeader);
+    const auto signals = decodeBackendSignals(200, { { leavingHeader, std::string(10000, 'x') } }, { leavingHeader, limitHeader });
     REQUIRE(signals.problems_.size() == 1);
     CHECK(signals.problems_.front().header_ == leavingHeader);
     CHECK(signals.problems_.front().value_ == std::string(64, 'x'));
@@ -86,5 +87,63 @@
 // Guards against a deployment without the header that takes any header as one.
 TEST_CASE("without a header for leaving servers none is decoded")
 {
-    CHECK(decodeBackendSignals(200, { { "", "1" }, { leavingHeader, "1" } }, "") == BackendSignals {});
+    CHECK(decodeBackendSignals(200, { { "", "1" }, { leavingHeader, "1" }, { limitHeader, "3" } }, {}) == BackendSignals {});
+}
+
+// Guards against a server that gets nothing, or everything, because its limit is malformed, contradictory or belongs to another server.
+TEST_CASE("a limit is a decimal number, and bad input says nothing about the limit")
+{
+    struct LimitCase
+    {
+        std::string title_;
+        int status_;
+        std::vector<std::string> values_;
+        bool isKnown_;
+        std::optional<double> requestsPerSecond_;
+        std::optional<SignalProblemReason> problem_;
+    };
+    using enum SignalProblemReason;
+    constexpr auto none = std::nullopt;
+    const auto cases = std::vector<LimitCase> {
+        { "no limit", 200, {}, true, none, none },
+        { "whole number", 200, { "4" }, true, 4, none },
+        { "fraction", 503, { "3.25" }, true, 3.25, none },
+        { "zero", 200, { "0" }, true, 0, none },
+        { "without digits before the point", 200, { ".5" }, true, 0.5, none },
+        { "white space", 200, { " 3 " }, true, 3, none },
+        { "repeated", 200, { "3", "3" }, true, 3, none },
+        { "a failed response", 500, { "3" }, true, 3, none },
+        { "the maximum", 200, { "1000000" }, true, 1e6, none },
+        { "two values", 200, { "3", "4" }, false, none, ConflictingValues },
+        { "list", 200, { "3, 3" }, false, none, NotADecimalNumber },
+        { "negative", 200, { "-3" }, false, none, NotADecimalNumber },
+        { "signed", 200, { "+3" }, false, none, NotADecimalNumber },
+        { "empty", 200, { "" }, false, none, NotADecimalNumber },
+        { "only a point", 200, { "." }, false, none, NotADecimalNumber },
+        { "two points", 200, { "1.2.3" }, false, none, NotADecimalNumber },
+        { "text", 200, { "few" }, false, none, NotADecimalNumber },
+        { "with a unit", 200, { "3/s" }, false, none, NotADecimalNumber },
+        { "NaN", 200, { "nan" }, false, none, NotADecimalNumber },
+        { "infinity", 200, { "inf" }, false, none, NotADecimalNumber },
+        { "exponent", 200, { "1e300" }, false, none, NotADecimalNumber },
+        { "hexadecimal", 200, { "0x10" }, false, none, NotADecimalNumber },
+        { "above the maximum", 200, { "1000001" }, false, none, OutOfRange },
+        { "400 digits", 200, { std::string(400, '9') }, false, none, OutOfRange },
+        { "by another server at the address", 421, { "3" }, false, none, FromOtherServer },
+        { "none by another server", 421, {}, false, none, none },
+    };
+    for (const auto &limitCase : cases) {
+        CAPTURE(limitCase.title_);
+        auto headers = HeaderFields {};
+        for (const auto &value : limitCase.values_) {
+            headers.push_back({ "x-limit", value });
+        }
+        const auto signals = decodeBackendSignals(limitCase.status_, headers, { leavingHeader, limitHeader });
+        CHECK(signals.isLimitKnown_ == limitCase.isKnown_);
+        CHECK(signals.requestsPerSecond_ == limitCase.requestsPerSecond_);
+        CHECK(signals.problems_.size() == (limitCase.problem_ ? 1 : 0));
+        if (limitCase.problem_ && !signals.problems_.empty()) {
+            CHECK(signals.problems_.front().reason_ == *limitCase.problem_);
+        }
+    }
 }
--- a/libraries/request/callerprotocol.h
+++ b/libraries/request/callerprotocol.h
@@ -56,6 +56,8 @@
     std::string load_ = "X-Load";
     /** Response header by which a backend server announces, with the value 1, that it is leaving; empty when there is none. */
     std::string leaving_ = "X-Leaving";
+    /** Response header in which a backend server in need names the requests a second that it takes from all hosts together; empty when there is none. */
+    std::string limit_ = "X-Limit";
     /** Paths (not headers) of readiness checks and of lookups. */
     std::string readyPath_ = "/ready";
     std::string lookupPath_ = "/lookup";
