--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -64,7 +64,7 @@
 auto isPeerClosed(int socket) -> bool
 {
     auto descriptor = pollfd { socket, POLLRDHUP, 0 };
-    return poll(&descriptor, 1, 0) > 0;
+    return socket >= 0 && poll(&descriptor, 1, 0) > 0;
 }
 
 auto timeSinceArrival(int socket) -> absl::Duration
--- a/libraries/core/digest.cpp
+++ b/libraries/core/digest.cpp
@@ -59,4 +59,10 @@
     return XXH3_64bits_withSeed(data.data(), data.size(), seed);
 }
 
+auto rendezvousRank(std::uint64_t host, std::uint64_t key) -> std::uint64_t
+{
+    constexpr auto multiplier = 0x9e3779b97f4a7c15ULL;
+    return (host ^ key) * multiplier;
+}
+
 }
--- a/libraries/core/digest.h
+++ b/libraries/core/digest.h
@@ -23,4 +23,7 @@
 /** A stable 64-bit hash (XXH3) that is the same on every host; not a cryptographic hash. */
 [[nodiscard]] auto stableHash(std::string_view data, std::uint64_t seed = 0) -> std::uint64_t;
 
+/** Position of a host in an order of hosts that is the same on every host and differs between keys (rendezvous hashing). */
+[[nodiscard]] auto rendezvousRank(std::uint64_t host, std::uint64_t key) -> std::uint64_t;
+
 }
--- a/libraries/fleet.thrift
+++ b/libraries/fleet.thrift
@@ -36,6 +36,34 @@
     3: i32 ageMillis;
 }
 
+/** What a backend server said about its limit, as known to the sender. */
+struct LimitSighting {
+    1: string backend;
+    2: i64 incarnation;
+    /** Requests a second that the server takes from all hosts together; absent when it names no limit. */
+    3: optional double requestsPerSecond;
+    /** Time since the statement is known to hold. */
+    4: i32 ageMillis;
+}
+
+/** Asks the issuer of a backend server's permits for one. */
+struct PermitRequest {
+    /** Identifies the request at its sender. */
+    1: i64 number;
+    /** Availability zone of the backend server. */
+    2: string zone;
+    3: LimitSighting limit;
+}
+
+struct PermitReply {
+    1: i64 number;
+    2: bool granted;
+    /** Time until a further permit may be available. */
+    3: i32 retryMillis;
+    /** What the issuer knows of the limit. */
+    4: LimitSighting limit;
+}
+
 /** The datagram that hosts send each other. */
 struct Gossip {
     1: HostIdentity sender;
@@ -45,6 +73,10 @@
     4: list<CrashSighting> crashes;
     /** Era of the store in which recordsAsOf was issued; absent from hosts that do not know eras. */
     5: optional i64 recordsEra;
+    /** Limits that backend servers named, or ended, in the last seconds. */
+    6: optional list<LimitSighting> limits;
+    7: optional PermitRequest permitRequest;
+    8: optional PermitReply permitReply;
 }
 
 struct Record {
--- a/libraries/process/backendselector.cpp
+++ b/libraries/process/backendselector.cpp
@@ -1,5 +1,7 @@
 #include "process/backendselector.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +14,9 @@
 /** How long the state of an incarnation is kept after it was last in a view. A draining server is in no view, and may end its draining. */
 constexpr auto unregisteredLifetime = absl::Minutes(10);
 
+/** Statements about limits that a datagram may hold, at some 40 bytes each. */
+constexpr auto maximumListedLimits = std::size_t { 16 };
+
 auto isCold(const FleetBackend &backend, absl::Time now) -> bool
 {
     return now < backend.coldUntil_;
@@ -50,23 +55,34 @@
     return "first";
 }
 
+auto BackendSelector::shardOf(const std::string &backendName) const -> Shard &
+{
+    return shards_[stableHash(backendName) % shardCount];
+}
+
 auto BackendSelector::shardOf(const FleetBackend &backend) const -> Shard &
 {
-    return shards_[backend.hash_ % shardCount];
+    return shardOf(backend.registration_.server_.name_);
 }
 
 // Incarnations are kept side by side: a request that uses an older view must not replace the state of the newer incarnation.
-auto BackendSelector::conditionIn(absl::flat_hash_map<std::string, Incarnations> &incarnations, const FleetBackend &backend) -> BackendCondition &
+auto BackendSelector::incarnationIn(absl::flat_hash_map<std::string, Incarnations> &incarnations, const std::string &backendName, std::int64_t number)
+    -> TrackedIncarnation &
 {
-    auto &tracked = incarnations[backend.registration_.server_.name_];
+    auto &tracked = incarnations[backendName];
     for (auto &incarnation : tracked) {
-        if (incarnation.condition_.incarnation_ == backend.registration_.incarnation_) {
-            return incarnation.condition_;
+        if (incarnation.condition_.incarnation_ == number) {
+            return incarnation;
         }
     }
-    tracked.push_back({ {}, absl::InfinitePast() });
-    tracked.back().condition_.incarnation_ = backend.registration_.incarnation_;
-    return tracked.back().condition_;
+    tracked.push_back({ {}, absl::InfinitePast(), {} });
+    tracked.back().condition_.incarnation_ = number;
+    return tracked.back();
+}
+
+auto BackendSelector::conditionIn(absl::flat_hash_map<std::string, Incarnations> &incarnations, const FleetBackend &backend) -> BackendCondition &
+{
+    return incarnationIn(incarnations, backend.registration_.server_.name_, backend.registration_.incarnation_).condition_;
 }
 
 auto BackendSelector::stateAt(absl::Time now, const FleetBackend &backend, const ColdRateLimitFunction &coldRateLimitOf) -> BackendAvailability
@@ -93,6 +109,9 @@
         state.admission_ = { BackendRestriction::ColdRateReached, now };
         return state;
     }
+    if (state.limit_) {
+        usePermit(condition.permits_);
+    }
     recordSend(condition, now);
     state.admission_ = {};
     return state;
@@ -107,10 +126,16 @@
         if (isTried(request, *backend)) {
             continue;
         }
-        const auto state = begin(now, *backend, coldRateLimitOf, false);
+        auto state = begin(now, *backend, coldRateLimitOf, false);
+        if (state.lacksOnlyPermit_ && request.acquirePermit_) {
+            if (const auto askedUntil = request.acquirePermit_(*backend)) {
+                now = *askedUntil;
+                state = begin(now, *backend, coldRateLimitOf, false);
+            }
+        }
         const auto restriction = state.admission_.restriction_;
         if (restriction == BackendRestriction::None) {
-            return { backend, rank == 0 ? ChoiceReason::First : ChoiceReason::Next, state.wait_, rank };
+            return { backend, rank == 0 ? ChoiceReason::First : ChoiceReason::Next, state.wait_, rank, state.limit_.has_value() };
         }
         countRestriction(restriction);
         if (restriction == BackendRestriction::Ejected && ejected.backend_ == nullptr) {
@@ -123,8 +148,13 @@
     if (leastFull.backend_ != nullptr && leastFull.wait_ > request.longestWait_) {
         return {};
     }
-    for (const auto &choice : { leastFull, ejected }) {
-        if (choice.backend_ != nullptr && begin(now, *choice.backend_, coldRateLimitOf, true).admission_.restriction_ == BackendRestriction::None) {
+    for (auto choice : { leastFull, ejected }) {
+        if (choice.backend_ == nullptr) {
+            continue;
+        }
+        const auto state = begin(now, *choice.backend_, coldRateLimitOf, true);
+        if (state.admission_.restriction_ == BackendRestriction::None) {
+            choice.hasPermit_ = state.limit_.has_value();
             return choice;
         }
     }
@@ -136,15 +166,17 @@
     auto untried = std::vector<BackendAdmission> {};
     auto all = std::vector<BackendAdmission> {};
     auto hasFreeBackend = false;
+    auto isLimitReached = false;
     for (const auto *backend : request.ranked_) {
         const auto state = stateAt(now, *backend, coldRateLimitOf);
         all.push_back(state.admission_);
+        isLimitReached = isLimitReached || state.admission_.restriction_ == BackendRestriction::LimitReached;
         if (!isTried(request, *backend)) {
             untried.push_back({ state.admission_.restriction_, std::max(now, state.admission_.until_) + state.serviceTime_ });
             hasFreeBackend = hasFreeBackend || (state.admission_.restriction_ == BackendRestriction::None && !state.isReturning_);
         }
     }
-    return { earliestReturn(untried), earliestReturn(all), hasFreeBackend };
+    return { earliestReturn(untried), earliestReturn(all), hasFreeBackend, isLimitReached };
 }
 
 auto BackendSelector::countRestriction(BackendRestriction restriction) -> void
@@ -155,13 +187,112 @@
     if (restriction == BackendRestriction::Paused || restriction == BackendRestriction::Returning) {
         keptFromPaused_ += 1;
     }
+    if (restriction == BackendRestriction::LimitReached) {
+        keptFromLimited_ += 1;
+    }
+}
+
+auto BackendSelector::maySend(absl::Time now, const BackendChoice &choice) -> bool
+{
+    const auto &backend = *choice.backend_;
+    auto &shard = shardOf(backend);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    const auto input = AdmissionInput { conditionIn(shard.incarnations_, backend), backend.usableUntil_, std::nullopt, choice.hasPermit_ };
+    return !forbidsSending(admissionOf(input, now).restriction_);
+}
+
+auto BackendSelector::beginAsking(absl::Time now, const FleetBackend &backend) -> std::optional<KnownLimit>
+{
+    auto &shard = shardOf(backend);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &condition = conditionIn(shard.incarnations_, backend);
+    if (!mayAsk(condition.permits_, now)) {
+        return std::nullopt;
+    }
+    recordAsk(condition.permits_);
+    return KnownLimit { backend.registration_.server_.name_, condition.incarnation_, condition.limit_ };
 }
 
-auto BackendSelector::maySend(absl::Time now, const FleetBackend &backend) -> bool
+auto BackendSelector::endAsking(absl::Time now, const FleetBackend &backend, const std::optional<PermitAnswer> &answer) -> bool
 {
+    permitsUnanswered_ += answer ? 0 : 1;
+    permitsGranted_ += answer && answer->decision_.isGranted_ ? 1 : 0;
+    permitsRefused_ += answer && !answer->decision_.isGranted_ ? 1 : 0;
     auto &shard = shardOf(backend);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    return !forbidsSending(admissionOf({ conditionIn(shard.incarnations_, backend), backend.usableUntil_ }, now).restriction_);
+    auto &condition = conditionIn(shard.incarnations_, backend);
+    recordAnswer(condition.permits_, now, answer ? std::optional(answer->decision_) : std::nullopt);
+    if (!answer) {
+        return false;
+    }
+    condition.limit_ = laterStatement(condition.limit_, answer->statement_);
+    return answer->decision_.isGranted_ || !condition.limit_.requestsPerSecond_;
+}
+
+auto BackendSelector::issuePermit(absl::Time now, const KnownLimit &known) -> PermitAnswer
+{
+    auto &shard = shardOf(known.backend_);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &incarnation = incarnationIn(shard.incarnations_, known.backend_, known.incarnation_);
+    auto &statement = incarnation.condition_.limit_;
+    statement = laterStatement(statement, known.statement_);
+    noteLimit(statement);
+    if (!statement.requestsPerSecond_) {
+        return { {}, statement };
+    }
+    const auto decision = takePermit(incarnation.issuable_, now, *statement.requestsPerSecond_);
+    permitsIssued_ += decision.isGranted_ ? 1 : 0;
+    return { decision, statement };
+}
+
+auto BackendSelector::applyLimit(const KnownLimit &known) -> std::optional<LimitChange>
+{
+    auto &shard = shardOf(known.backend_);
+    const auto lock = absl::MutexLock(&shard.mutex_);
+    auto &condition = incarnationIn(shard.incarnations_, known.backend_, known.incarnation_).condition_;
+    const auto change = recordLimit(condition, laterStatement(condition.limit_, known.statement_));
+    noteLimit(condition.limit_);
+    limits_ += change && !change->before_ ? 1 : 0;
+    return change;
+}
+
+auto BackendSelector::limitsSince(absl::Time since) const -> std::vector<KnownLimit>
+{
+    auto found = std::vector<KnownLimit> {};
+    if (newestLimitMillis_ <= absl::ToUnixMillis(since)) {
+        return found;
+    }
+    for (auto &shard : shards_) {
+        const auto lock = absl::MutexLock(&shard.mutex_);
+        for (const auto &[name, incarnations] : shard.incarnations_) {
+            for (const auto &incarnation : incarnations) {
+                const auto &condition = incarnation.condition_;
+                if (condition.limit_.at_ > since) {
+                    found.push_back({ name, condition.incarnation_, condition.limit_ });
+                }
+            }
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const KnownLimit &left, const KnownLimit &right) {
+        return left.statement_.at_ > right.statement_.at_;
+    });
+    found.resize(std::min(found.size(), maximumListedLimits));
+    return found;
+}
+
+auto BackendSelector::hasHeardOfLimits() const -> bool
+{
+    return newestLimitMillis_ > 0;
+}
+
+auto BackendSelector::noteLimit(const LimitStatement &statement) -> void
+{
+    if (statement.at_ == absl::InfinitePast()) {
+        return;
+    }
+    const auto millis = absl::ToUnixMillis(statement.at_);
+    auto newest = newestLimitMillis_.load();
+    while (newest < millis && !newestLimitMillis_.compare_exchange_weak(newest, millis)) { }
 }
 
 auto BackendSelector::cancel(const FleetBackend &backend) -> void
@@ -183,10 +314,12 @@
     ignoredHeaders_ += static_cast<std::int64_t>(signals.problems_.size());
     auto &shard = shardOf(backend);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    const auto change = recordSignals(conditionIn(shard.incarnations_, backend), now, signals, sentAt, returnDelay);
+    auto &condition = conditionIn(shard.incarnations_, backend);
+    const auto change = recordSignals(condition, now, signals, sentAt, returnDelay);
     leavingMarks_ += change.beganLeaving_ ? 1 : 0;
     pauseMarks_ += change.pausedUntil_ ? 1 : 0;
     limits_ += change.limit_ && !change.limit_->before_ ? 1 : 0;
+    noteLimit(condition.limit_);
     return change;
 }
 
@@ -249,7 +382,8 @@
 
 auto BackendSelector::signalCounts() const -> SignalCounts
 {
-    return { leavingMarks_, pauseMarks_, limits_, ignoredHeaders_, keptFromLeaving_, keptFromPaused_, cancelled_, sentDespiteMark_ };
+    return { leavingMarks_,   pauseMarks_,        limits_,        ignoredHeaders_, keptFromLeaving_, keptFromPaused_, keptFromLimited_, permitsGranted_,
+             permitsRefused_, permitsUnanswered_, permitsIssued_, cancelled_,      sentDespiteMark_ };
 }
 
 }
--- a/libraries/process/backendselector.h
+++ b/libraries/process/backendselector.h
@@ -46,6 +46,8 @@
     absl::Duration wait_ = absl::ZeroDuration();
     /** Position in the object's ranking, from 0. */
     std::size_t rank_ = 0;
+    /** Whether the request has a permit under the backend server's limit. */
+    bool hasPermit_ = false;
 };
 
 /** A request for which a backend server is chosen. */
@@ -57,6 +59,11 @@
     const std::vector<std::string> &tried_;
     /** When no backend server has room and the shortest expected wait of the full ones is longer than this, none is chosen. */
     absl::Duration longestWait_ = absl::InfiniteDuration();
+    /**
+     * Asks for a permit for a backend server that has reached its limit. Returns the monotonic time after it if the server may be tried again; blocks. May be
+     * empty.
+     */
+    std::function<std::optional<absl::Time>(const FleetBackend &)> acquirePermit_ = nullptr;
 };
 
 /** When backend servers that asked for no requests return. A time is absent if one of the servers is restricted for another reason. */
@@ -68,6 +75,8 @@
     std::optional<absl::Time> returnAt_;
     /** Whether one that was not tried has no restriction, and does not return from a pause either. */
     bool hasFreeBackend_ = false;
+    /** Whether one of all, tried or not, has reached its limit. */
+    bool isLimitReached_ = false;
 };
 
 /** Counts of the signals of backend servers and their effects since the start of the process. */
@@ -81,6 +90,14 @@
     /** Choices in which a server was passed over because it is leaving, paused or returning from a pause. */
     std::int64_t keptFromLeaving_ = 0;
     std::int64_t keptFromPaused_ = 0;
+    /** Choices in which a server was passed over because it has reached its limit. */
+    std::int64_t keptFromLimited_ = 0;
+    /** Permits that this host was granted, was refused, and asked for in vain. */
+    std::int64_t permitsGranted_ = 0;
+    std::int64_t permitsRefused_ = 0;
+    std::int64_t permitsUnanswered_ = 0;
+    /** Permits that this host has issued. */
+    std::int64_t permitsIssued_ = 0;
     /** Requests that were chosen for a server before it was marked, and not sent. */
     std::int64_t cancelled_ = 0;
     /** Requests that were sent to a server after it was marked. */
@@ -121,7 +138,25 @@
     [[nodiscard]] auto stateAt(absl::Time now, const FleetBackend &backend, const ColdRateLimitFunction &coldRateLimitOf) -> BackendAvailability;
 
     /** Whether a chosen request that is not sent yet may still be sent. */
-    [[nodiscard]] auto maySend(absl::Time now, const FleetBackend &backend) -> bool;
+    [[nodiscard]] auto maySend(absl::Time now, const BackendChoice &choice) -> bool;
+
+    /** Records that a permit for a backend server is asked for, and returns what is known of its limit; none when no permit may be asked for now. */
+    [[nodiscard]] auto beginAsking(absl::Time now, const FleetBackend &backend) -> std::optional<KnownLimit>;
+
+    /** Records the answer of the issuer; none when there was none in time. Returns whether the backend server may be tried again. */
+    [[nodiscard]] auto endAsking(absl::Time now, const FleetBackend &backend, const std::optional<PermitAnswer> &answer) -> bool;
+
+    /** Issues a permit to a host that knows the given limit, if one is available. */
+    [[nodiscard]] auto issuePermit(absl::Time now, const KnownLimit &known) -> PermitAnswer;
+
+    /** Records what a peer knows of a limit. Returns what that changed. */
+    auto applyLimit(const KnownLimit &known) -> std::optional<LimitChange>;
+
+    /** Whether any server has named a limit since the start of the process. */
+    [[nodiscard]] auto hasHeardOfLimits() const -> bool;
+
+    /** The latest statements about limits after a time, at most as many as a datagram should hold. */
+    [[nodiscard]] auto limitsSince(absl::Time since) const -> std::vector<KnownLimit>;
 
     /** Records that a chosen request is not sent because its backend server was marked; it is then no longer in flight. */
     auto cancel(const FleetBackend &backend) -> void;
@@ -148,6 +183,8 @@
     {
         BackendCondition condition_;
         absl::Time lastRegisteredAt_;
+        /** Permits that this host may issue. */
+        PermitBucket issuable_;
     };
     /** The incarnations of one backend server; nearly always one. */
     using Incarnations = std::vector<TrackedIncarnation>;
@@ -158,8 +195,13 @@
     };
     static constexpr auto shardCount = std::size_t { 16 };
 
+    [[nodiscard]] auto shardOf(const std::string &backendName) const -> Shard &;
     [[nodiscard]] auto shardOf(const FleetBackend &backend) const -> Shard &;
+    [[nodiscard]] static auto incarnationIn(absl::flat_hash_map<std::string, Incarnations> &incarnations, const std::string &backendName, std::int64_t number)
+        -> TrackedIncarnation &;
     [[nodiscard]] static auto conditionIn(absl::flat_hash_map<std::string, Incarnations> &incarnations, const FleetBackend &backend) -> BackendCondition &;
+    /** Notes that the statement of a limit may be news to peers. */
+    auto noteLimit(const LimitStatement &statement) -> void;
     /** Counts the request as in flight if the backend server has no restriction, or only one that a last resort may override. */
     [[nodiscard]] auto begin(absl::Time now, const FleetBackend &backend, const ColdRateLimitFunction &coldRateLimitOf, bool isLastResortAllowed)
         -> BackendAvailability;
@@ -177,6 +219,13 @@
     std::atomic<std::int64_t> ignoredHeaders_ = 0;
     std::atomic<std::int64_t> keptFromLeaving_ = 0;
     std::atomic<std::int64_t> keptFromPaused_ = 0;
+    std::atomic<std::int64_t> keptFromLimited_ = 0;
+    std::atomic<std::int64_t> permitsGranted_ = 0;
+    std::atomic<std::int64_t> permitsRefused_ = 0;
+    std::atomic<std::int64_t> permitsUnanswered_ = 0;
+    std::atomic<std::int64_t> permitsIssued_ = 0;
+    /** Monotonic time of the newest statement about a limit, in milliseconds; 0 when there is none. */
+    std::atomic<std::int64_t> newestLimitMillis_ = 0;
     std::atomic<std::int64_t> cancelled_ = 0;
     std::atomic<std::int64_t> sentDespiteMark_ = 0;
 };
--- a/libraries/process/backendsignalreport.cpp
+++ b/libraries/process/backendsignalreport.cpp
@@ -26,6 +26,13 @@
     return requestsPerSecond ? fmt::format("{}", *requestsPerSecond) : "none";
 }
 
+auto logLimit(std::vector<LogField> fields, const LimitChange &change) -> void
+{
+    fields.push_back({ "limit", limitText(change.after_) });
+    fields.push_back({ "limit_before", limitText(change.before_) });
+    logLine(wallNow(), LogLevel::Warning, "backend_limit", fields);
+}
+
 auto counter(std::string name, std::string help, std::map<std::string, std::string> labels, std::int64_t value) -> MetricValue
 {
     return { std::move(name), std::move(help), MetricKind::Counter, std::move(labels), static_cast<double>(value) };
@@ -50,10 +57,7 @@
         logLine(wallNow(), LogLevel::Warning, markedEvent, fields);
     }
     if (change.limit_) {
-        auto fields = identityFields(requestId, backend);
-        fields.push_back({ "limit", limitText(change.limit_->after_) });
-        fields.push_back({ "limit_before", limitText(change.limit_->before_) });
-        logLine(wallNow(), LogLevel::Warning, "backend_limit", fields);
+        logLimit(identityFields(requestId, backend), *change.limit_);
     }
     if (change.pausedUntil_) {
         auto fields = identityFields(requestId, backend);
@@ -64,6 +68,11 @@
     }
 }
 
+auto logPeerLimit(const std::string &peer, const KnownLimit &known, const LimitChange &change) -> void
+{
+    logLimit({ { "peer", peer }, { "backend", known.backend_ }, { "incarnation", fmt::format("{}", known.incarnation_) } }, change);
+}
+
 auto logEndedMark(const EndedMark &mark) -> void
 {
     logLine(wallNow(),
@@ -81,6 +90,8 @@
     constexpr auto marksHelp = "Backend servers that announced that they leave, asked for a pause or named a limit";
     constexpr auto kept = "lycheecleat_requests_kept_away_total";
     constexpr auto keptHelp = "Choices that passed over a backend server because of its signal";
+    constexpr auto permits = "lycheecleat_permits_total";
+    constexpr auto permitsHelp = "Permits that this host asked for, to send requests to backend servers with a limit";
     return {
         counter(marks, marksHelp, { { "signal", "leaving" } }, counts.leavingMarks_),
         counter(marks, marksHelp, { { "signal", "paused" } }, counts.pauseMarks_),
@@ -88,6 +99,11 @@
         counter("lycheecleat_backend_signals_ignored_total", "Headers of backend servers that were not used as received", {}, counts.ignoredHeaders_),
         counter(kept, keptHelp, { { "signal", "leaving" } }, counts.keptFromLeaving_),
         counter(kept, keptHelp, { { "signal", "paused" } }, counts.keptFromPaused_),
+        counter(kept, keptHelp, { { "signal", "limited" } }, counts.keptFromLimited_),
+        counter(permits, permitsHelp, { { "outcome", "granted" } }, counts.permitsGranted_),
+        counter(permits, permitsHelp, { { "outcome", "refused" } }, counts.permitsRefused_),
+        counter(permits, permitsHelp, { { "outcome", "unanswered" } }, counts.permitsUnanswered_),
+        counter("lycheecleat_permits_issued_total", "Permits that this host has issued to hosts, itself included", {}, counts.permitsIssued_),
         counter("lycheecleat_requests_cancelled_total", "Requests not sent because their backend server was marked after the choice", {}, counts.cancelled_),
         counter("lycheecleat_requests_despite_mark_total", "Requests sent to a backend server that was already marked", {}, counts.sentDespiteMark_),
     };
--- a/libraries/process/fleetbackendchoice.cpp
+++ b/libraries/process/fleetbackendchoice.cpp
@@ -14,6 +14,15 @@
 /** Fraction used of the rate that a cold backend server tolerates. The rest is a margin for delays that differ between hosts and backend servers. */
 constexpr auto usedColdFraction = 0.85;
 
+/** Longest wait for a permit; longer than a round trip between regions. */
+constexpr auto permitTimeout = absl::Milliseconds(250);
+
+/** Requests for permits without an answer after which a request goes to backend servers without a limit only. */
+constexpr auto maximumUnansweredPermits = 1;
+
+/** How long a statement about a limit is told to other hosts. Hosts that hear of it later learn it from the server or from the issuer. */
+constexpr auto limitGossipLifetime = absl::Seconds(10);
+
 /** Interval in which marks of backend servers that have ended are looked for. */
 constexpr auto markSweepInterval = absl::Seconds(1);
 
@@ -79,7 +88,10 @@
     state.choice_ = {};
     const auto ranked = rankBackends(state.objectHash_, candidates(state, *state.view_));
     const auto elapsed = now - state.received_.receivedAt_;
-    const auto request = ChoiceRequest { ranked, state.tried_, longestUsefulWait(state.route_->latencyObjective_, priorityOf(state)) - elapsed };
+    auto request = ChoiceRequest { ranked, state.tried_, longestUsefulWait(state.route_->latencyObjective_, priorityOf(state)) - elapsed };
+    request.acquirePermit_ = [&](const FleetBackend &backend) {
+        return acquirePermit(state, backend);
+    };
     state.candidates_ = candidateSetOf(ranked, state.tried_);
     // A new request doesn't overtake those that wait for the same backend servers. One that may have run doesn't wait.
     if (!state.isWaiting_ && !state.mayHaveRun_ && !returns_.isEmpty() && returns_.hasWaiting(state.candidates_)) {
@@ -92,6 +104,42 @@
     return state.choice_.backend_ != nullptr;
 }
 
+auto FleetRequestHandler::acquirePermit(RequestState &state, const FleetBackend &backend) -> std::optional<absl::Time>
+{
+    const auto askedAt = monotonicNow();
+    if (!services_.askForPermit_ || state.permitsUnanswered_ >= maximumUnansweredPermits) {
+        return std::nullopt;
+    }
+    const auto known = selector_.beginAsking(askedAt, backend);
+    if (!known) {
+        return std::nullopt;
+    }
+    const auto query = PermitQuery { backend.registration_.server_.zone_, *known };
+    const auto answer = services_.askForPermit_(askedAt, query, std::min(askedAt + permitTimeout, state.deadline_));
+    const auto now = monotonicNow();
+    state.permitsAsked_ += 1;
+    state.permitsUnanswered_ += answer ? 0 : 1;
+    state.permitTime_ += now - askedAt;
+    return selector_.endAsking(now, backend, answer) ? std::optional(now) : std::nullopt;
+}
+
+auto FleetRequestHandler::recentLimits(absl::Time now) const -> std::vector<KnownLimit>
+{
+    return selector_.limitsSince(now - limitGossipLifetime);
+}
+
+auto FleetRequestHandler::addLimit(const std::string &peer, const KnownLimit &known) -> void
+{
+    if (const auto change = selector_.applyLimit(known)) {
+        logPeerLimit(peer, known, *change);
+    }
+}
+
+auto FleetRequestHandler::issuePermit(absl::Time now, const KnownLimit &known) -> PermitAnswer
+{
+    return selector_.issuePermit(now, known);
+}
+
 auto FleetRequestHandler::updateReturn(RequestState &state) -> void
 {
     const auto view = services_.state_->view();
@@ -141,6 +189,10 @@
         return;
     }
     const auto signals = decodeBackendSignals(response.status_, response.headers_, { services_.protocol_.leaving_, services_.protocol_.limit_ });
+    const auto namesNoLimit = BackendSignals { .isLimitKnown_ = true };
+    if (signals == BackendSignals {} || (signals == namesNoLimit && !selector_.hasHeardOfLimits())) {
+        return;
+    }
     const auto now = monotonicNow();
     const auto &backend = *state.choice_.backend_;
     const auto delay = signals.pause_ ? returnDelay(*signals.pause_, services_.shareHolders_(now), selfHash(), backend.hash_) : absl::ZeroDuration();
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -110,6 +110,18 @@
     , adapter_(std::move(adapter))
     , identity_(identityOf(settings_))
     , state_(settings_.zones_, settings_.zone_, adapter_.decoders_)
+    , permits_(PermitExchangeServices { [this](absl::Time now, const std::string &zone, const std::string &backend) {
+                                           return gossip_->permitIssuer(now, zone, backend);
+                                       },
+                                        [this](absl::Time now) {
+                                            return gossip_->isInformed(now);
+                                        },
+                                        [this](absl::Time now, const KnownLimit &known) {
+                                            return requestHandler_.issuePermit(now, known);
+                                        },
+                                        [this](const std::string &address, const fleet::PermitRequest &request) {
+                                            gossip_->sendPermitRequest(address, request);
+                                        } })
     , requestHandler_(FleetRequestServices { settings_.name_,
                                              adapter_.protocol_,
                                              [this] {
@@ -125,6 +137,9 @@
                                              [this](const RequestObservation &observation) {
                                                  metrics_.observe(observation);
                                              },
+                                             [this](absl::Time now, const PermitQuery &query, absl::Time deadline) {
+                                                 return permits_.ask(now, query, deadline);
+                                             },
                                              settings_.memory_ })
     , replicator_(std::make_unique<RecordReplicator>(RecordReplicatorServices { adapter_.store_,
                                                                                 &state_,
@@ -153,6 +168,18 @@
                                                             [this](absl::Time now, const CrashRecord &record) {
                                                                 requestHandler_.addCrashRecord(now, record);
                                                             },
+                                                            [this](absl::Time now) {
+                                                                return requestHandler_.recentLimits(now);
+                                                            },
+                                                            [this](const std::string &peer, const KnownLimit &known) {
+                                                                requestHandler_.addLimit(peer, known);
+                                                            },
+                                                            [this](absl::Time now, const fleet::PermitRequest &request) {
+                                                                return permits_.answer(now, request);
+                                                            },
+                                                            [this](absl::Time now, const fleet::PermitReply &reply) {
+                                                                permits_.receive(now, reply);
+                                                            },
                                                             [this](const NewerPeer &peer) {
                                                                 replicator_->notifyNewerPeer(peer);
                                                             } }))
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -7,6 +7,7 @@
 #include "process/hostgossip.h"
 #include "process/metrics.h"
 #include "process/peerserver.h"
+#include "process/permitexchange.h"
 #include "process/recordreplicator.h"
 #include "process/recordstore.h"
 #include "process/reloadablesettings.h"
@@ -105,6 +106,7 @@
     /** New requests are refused. */
     std::atomic<bool> isStopping_ = false;
     FleetState state_;
+    PermitExchange permits_;
     FleetRequestHandler requestHandler_;
     std::unique_ptr<RecordReplicator> replicator_;
     std::unique_ptr<HostGossip> gossip_;
--- a/libraries/process/fleetreport.cpp
+++ b/libraries/process/fleetreport.cpp
@@ -26,6 +26,7 @@
              { "expected_wait_ms", absl::ToInt64Milliseconds(state.wait_) },
              { "in_flight", state.inFlight_ },
              { "load_age_ms", millisOrNull(state.loadAge_) },
+             { "limit", state.limit_ ? Json(*state.limit_) : Json() },
              { "restriction", restrictionName(state.admission_.restriction_) } };
 }
 
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -56,6 +56,9 @@
 constexpr auto minimumRetryAfter = absl::Milliseconds(300);
 constexpr auto maximumRetryAfter = absl::Seconds(5);
 
+/** Upper bound of Retry-After while backend servers have reached their limits; the lower one is minimumRetryAfter. */
+constexpr auto maximumLimitRetryAfter = absl::Seconds(2);
+
 constexpr auto firstServerError = 500;
 constexpr auto misdirectedStatus = 421;
 
@@ -99,6 +102,14 @@
     }
 }
 
+// Callers return evenly over some time, since a server with a limit has room for a few requests at any time and never for many at once.
+auto retryAfterLimit(const std::string &requestId) -> std::string
+{
+    constexpr auto steps = std::uint64_t { 1000 };
+    const auto fraction = static_cast<double>(stableHash(requestId) % steps) / static_cast<double>(steps);
+    return fmt::format("{:.1f}", absl::ToDoubleSeconds(minimumRetryAfter + (maximumLimitRetryAfter - minimumRetryAfter) * fraction));
+}
+
 auto retryAfterReturn(absl::Time now, absl::Time returnAt) -> std::string
 {
     return fmt::format("{:.1f}", absl::ToDoubleSeconds(std::clamp(returnAt - now, minimumRetryAfter, maximumRetryAfter)));
@@ -345,7 +356,7 @@
     call.expectedInstance_ = server.name_;
     call.requestId_ = state.requestId_;
     call.maySend_ = [&] {
-        return selector_.maySend(monotonicNow(), *state.choice_.backend_);
+        return selector_.maySend(monotonicNow(), state.choice_);
     };
     return pool_.exchange(call, state.content_);
 }
@@ -446,7 +457,9 @@
     if (!state.requestId_.empty()) {
         response.headers_.push_back({ services_.protocol_.requestId_, state.requestId_ });
     }
-    if (refusal == Refusal::NoCapacity && state.return_.returnAt_.value_or(absl::InfiniteFuture()) != absl::InfiniteFuture()) {
+    if (refusal == Refusal::NoCapacity && state.return_.isLimitReached_) {
+        response.headers_.push_back({ "Retry-After", retryAfterLimit(state.requestId_) });
+    } else if (refusal == Refusal::NoCapacity && state.return_.returnAt_.value_or(absl::InfiniteFuture()) != absl::InfiniteFuture()) {
         response.headers_.push_back({ "Retry-After", retryAfterReturn(monotonicNow(), *state.return_.returnAt_) });
     } else if (const auto seconds = retryAfter(refusal)) {
         response.headers_.push_back({ "Retry-After", std::string(*seconds) });
@@ -466,6 +479,9 @@
     }
     if (!state.response_) {
         updateReturn(state);
+        if (state.refusal_ == Refusal::NoCapacity && state.return_.isLimitReached_ && state.detail_.empty()) {
+            state.detail_ = "backend servers have reached the limits that they named";
+        }
         return refuse(state, state.refusal_);
     }
     log(state, state.response_->status_, "");
@@ -485,7 +501,6 @@
         { "request", state.requestId_ },
         { "status", fmt::format("{}", status) },
         { "ms", millisecondsText(duration) },
-        { "unread_ms", millisecondsText(state.received_.unreadTime_) },
         { "sent_ms", state.writtenAt_ == absl::InfinitePast() ? "" : millisecondsText(state.writtenAt_ - state.received_.receivedAt_) },
         { "route", state.route_ == nullptr ? "" : state.route_->name_ },
         { "organisation", state.organisation_ == nullptr ? "" : state.organisation_->limits_.name_ },
@@ -503,9 +518,16 @@
     if (!reason.empty()) {
         fields.push_back({ "reason", std::string(reason) });
     }
+    if (state.received_.unreadTime_ > absl::ZeroDuration()) {
+        fields.push_back({ "unread_ms", millisecondsText(state.received_.unreadTime_) });
+    }
     if (!state.detail_.empty()) {
         fields.push_back({ "detail", state.detail_ });
     }
+    if (state.permitsAsked_ > 0) {
+        fields.push_back({ "permits_asked", fmt::format("{}", state.permitsAsked_) });
+        fields.push_back({ "permits_ms", millisecondsText(state.permitTime_) });
+    }
     logLine(wallNow(), reason.empty() ? LogLevel::Info : LogLevel::Warning, "request", fields);
     if (services_.observe_) {
         services_.observe_({ state.organisation_ == nullptr ? std::string {} : state.organisation_->limits_.name_,
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -8,6 +8,7 @@
 #include "process/fleetstate.h"
 #include "process/hosttable.h"
 #include "process/organisationquotas.h"
+#include "process/permitexchange.h"
 #include "process/reloadablesettings.h"
 #include "process/requestobservation.h"
 #include "process/retrybudgets.h"
@@ -43,6 +44,8 @@
     std::function<std::vector<std::uint64_t>(absl::Time)> shareHolders_;
     std::function<bool()> isStopping_;
     std::function<void(const RequestObservation &)> observe_;
+    /** Asks for a permit for a backend server with a limit; none without an answer by the deadline. Blocks. */
+    std::function<std::optional<PermitAnswer>(absl::Time, const PermitQuery &, absl::Time deadline)> askForPermit_ = nullptr;
     /** Memory that the process may use, in bytes; 0 when it is not known. */
     std::size_t memory_ = 0;
 };
@@ -66,6 +69,13 @@
     [[nodiscard]] auto crashRecords(absl::Time now) const -> std::vector<CrashRecord>;
     auto addCrashRecord(absl::Time now, const CrashRecord &record) -> void;
 
+    /** What is known of backend servers' limits and may be news to peers; and what a peer knows. */
+    [[nodiscard]] auto recentLimits(absl::Time now) const -> std::vector<KnownLimit>;
+    auto addLimit(const std::string &peer, const KnownLimit &known) -> void;
+
+    /** Issues a permit for a backend server with a limit to a host that knows the given limit. */
+    [[nodiscard]] auto issuePermit(absl::Time now, const KnownLimit &known) -> PermitAnswer;
+
     /** Number of requests being handled. */
     [[nodiscard]] auto inFlight() const -> int;
 
@@ -82,6 +92,8 @@
     static auto chooseTarget(RequestState &state, const std::string &object) -> void;
     auto send(RequestState &state) -> CallerResponse;
     auto chooseBackend(RequestState &state) -> bool;
+    /** Asks for a permit for a backend server. Returns the time after that if the server may be tried again. */
+    auto acquirePermit(RequestState &state, const FleetBackend &backend) -> std::optional<absl::Time>;
     /** Waits for a backend server to return if all that remain asked for no requests. Returns whether one was chosen. */
     auto awaitReturn(RequestState &state) -> bool;
     /** Updates when the request's backend servers return. */
--- a/libraries/process/fleetrequeststate.h
+++ b/libraries/process/fleetrequeststate.h
@@ -49,6 +49,10 @@
     /** The request waits for a backend server to return. */
     bool isWaiting_ = false;
     bool isAbandoned_ = false;
+    /** Requests for permits that were made for the request, those without an answer, and the time that all of them took. */
+    int permitsAsked_ = 0;
+    int permitsUnanswered_ = 0;
+    absl::Duration permitTime_ = absl::ZeroDuration();
     std::string detail_ = {};
 };
 
--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -179,6 +179,11 @@
 }
 
 auto HostGossip::buildDatagram(absl::Time now, Scope scope) -> std::string
+{
+    return encodeGossip(buildGossip(now, scope));
+}
+
+auto HostGossip::buildGossip(absl::Time now, Scope scope) -> fleet::Gossip
 {
     auto gossip = fleet::Gossip {};
     const auto asOf = services_.state_->asOf();
@@ -187,12 +192,48 @@
     for (const auto &record : services_.crashRecords_(now)) {
         gossip.crashes.push_back(crashMessage(now, record));
     }
+    auto limits = std::vector<fleet::LimitSighting> {};
+    for (const auto &known : services_.limits_(now)) {
+        limits.push_back(toMessage(now, known));
+    }
+    if (!limits.empty()) {
+        gossip.__set_limits(limits);
+    }
     const auto lock = absl::MutexLock(&mutex_);
     gossip.sender = *table_.self().identity_;
     if (scope != Scope::None) {
         gossip.heartbeats = table_.heartbeats(now, scope == Scope::Region ? regionZones_ : std::vector<std::string> {});
     }
-    return encodeGossip(gossip);
+    return gossip;
+}
+
+auto HostGossip::sendPermitRequest(const std::string &address, const fleet::PermitRequest &request) -> void
+{
+    auto gossip = buildGossip(monotonicNow(), Scope::None);
+    gossip.__set_permitRequest(request);
+    send(address, encodeGossip(gossip));
+}
+
+auto HostGossip::permitIssuer(absl::Time now, const std::string &zone, const std::string &backend) const -> std::optional<PermitIssuer>
+{
+    const auto backendHash = stableHash(backend);
+    auto allZones = std::vector<std::string> {};
+    for (const auto &[candidateZone, region] : services_.zones_) {
+        allZones.push_back(candidateZone);
+    }
+    const auto lock = absl::MutexLock(&mutex_);
+    for (const auto &zones : { std::vector<std::string> { zone }, zonesOfRegion(services_.zones_, zone), allZones }) {
+        if (const auto issuer = table_.permitIssuer(now, zones, backendHash)) {
+            return PermitIssuer { issuer->name == services_.self_.name, issuer->gossipAddress };
+        }
+    }
+    return std::nullopt;
+}
+
+auto HostGossip::isInformed(absl::Time now) const -> bool
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    return table_.isInformed(now);
 }
 
 auto HostGossip::send(const std::string &address, const std::string &data) -> void
@@ -225,6 +266,15 @@
         const auto age = absl::Milliseconds(std::max(0, sighting.ageMillis));
         services_.addCrashRecord_(now, { sighting.fingerprint, sighting.backends, now - age });
     }
+    applyLimits(now, *gossip);
+    if (gossip->__isset.permitRequest) {
+        auto reply = buildGossip(now, Scope::None);
+        reply.__set_permitReply(services_.answerPermit_(now, gossip->permitRequest));
+        send(gossip->sender.gossipAddress, encodeGossip(reply));
+    }
+    if (gossip->__isset.permitReply) {
+        services_.receivePermit_(now, gossip->permitReply);
+    }
     const auto asOf = services_.state_->asOf();
     const auto senderAsOf = recordsPosition(*gossip);
     if (senderAsOf > asOf) {
@@ -236,6 +286,17 @@
     }
 }
 
+auto HostGossip::applyLimits(absl::Time now, const fleet::Gossip &gossip) -> void
+{
+    for (const auto &sighting : gossip.limits) {
+        if (isInRange(sighting)) {
+            services_.addLimit_(gossip.sender.name, fromMessage(now, sighting));
+        } else {
+            logLine(wallNow(), LogLevel::Info, "limit_ignored", { { "peer", gossip.sender.name }, { "reason", "a value is out of range" } });
+        }
+    }
+}
+
 auto HostGossip::announceHeartbeats(absl::Time now) -> void
 {
     announceHeartbeats(now, Scope::All);
--- a/libraries/process/hostgossip.h
+++ b/libraries/process/hostgossip.h
@@ -1,10 +1,11 @@
-/** Gossips heartbeats with other hosts over UDP, and detects peers whose records are newer. */
+/** Gossips heartbeats with other hosts over UDP, detects peers whose records are newer, and carries requests for permits. */
 #pragma once
 
 #include "connection/datagramsocket.h"
 #include "core/error.h"
 #include "process/fleetstate.h"
 #include "process/hosttable.h"
+#include "process/permitexchange.h"
 #include "request/crashsuspecttable.h"
 
 #include <absl/base/thread_annotations.h>
@@ -43,6 +44,14 @@
     std::function<std::vector<CrashRecord>(absl::Time)> crashRecords_;
     /** Called with each received crash record. */
     std::function<void(absl::Time, const CrashRecord &)> addCrashRecord_;
+    /** Returns what is known of backend servers' limits, to send. */
+    std::function<std::vector<KnownLimit>(absl::Time)> limits_;
+    /** Called with what a peer knows of a limit. */
+    std::function<void(const std::string &peer, const KnownLimit &)> addLimit_;
+    /** Answers a peer's request for a permit. */
+    std::function<fleet::PermitReply(absl::Time, const fleet::PermitRequest &)> answerPermit_;
+    /** Called with a peer's answer to a request for a permit. */
+    std::function<void(absl::Time, const fleet::PermitReply &)> receivePermit_;
     /** Called when a peer reports records newer than those of this host. */
     std::function<void(const NewerPeer &)> onNewerPeer_;
 };
@@ -69,6 +78,15 @@
     /** Tells hosts of the region at once that this host no longer reaches the store, so that another one watches it. */
     auto announceStoreLoss(absl::Time now) -> void;
 
+    /** Sends a request for a permit to the gossip address of another host. */
+    auto sendPermitRequest(const std::string &address, const fleet::PermitRequest &request) -> void;
+
+    /** The host that issues permits for a backend server: one of the server's zone, of its region if there is none, or else any. */
+    [[nodiscard]] auto permitIssuer(absl::Time now, const std::string &zone, const std::string &backend) const -> std::optional<PermitIssuer>;
+
+    /** See HostTable::isInformed(). */
+    [[nodiscard]] auto isInformed(absl::Time now) const -> bool;
+
     /** Whether this host watches the store for its region; see HostTable::watchesStore(). */
     [[nodiscard]] auto watchesStore(absl::Time now) const -> bool;
 
@@ -85,6 +103,7 @@
     auto tick(absl::Time now) -> void;
     auto refreshRegistrations(absl::Time now) const -> void;
     auto applyGossip(absl::Time now, const std::string &data) -> void;
+    auto applyLimits(absl::Time now, const fleet::Gossip &gossip) -> void;
     /** Which heartbeats a datagram contains. */
     enum class Scope {
         /** Those of all hosts. */
@@ -102,6 +121,7 @@
 
     auto chooseTargets(absl::Time now) -> std::vector<Target>;
     auto announceHeartbeats(absl::Time now, Scope scope) -> void;
+    auto buildGossip(absl::Time now, Scope scope) -> fleet::Gossip;
     auto buildDatagram(absl::Time now, Scope scope) -> std::string;
     auto send(const std::string &address, const std::string &data) -> void;
     auto isInRegion(const KnownHost &host) const -> bool;
--- a/libraries/process/hosttable.cpp
+++ b/libraries/process/hosttable.cpp
@@ -17,6 +17,9 @@
 /** A host whose heartbeat has not advanced for this long counts as failed. */
 constexpr auto livenessTimeout = absl::Milliseconds(2500);
 
+/** A host that did not advance its own heartbeat for this long may have missed those of others. */
+constexpr auto maximumHeartbeatGap = absl::Seconds(1);
+
 /** How long an unresponsive host keeps its quota shares: it may be partitioned from this host and still serve callers. */
 constexpr auto shareRetention = absl::Seconds(60);
 
@@ -58,6 +61,9 @@
 auto HostTable::advanceHeartbeat(absl::Time now, HostStage stage, bool reachesStore) -> void
 {
     auto &selfEntry = hosts_[selfHash_];
+    if (now - selfEntry.lastHeartbeatAt_ > maximumHeartbeatGap) {
+        listeningSince_ = now;
+    }
     selfEntry.sequence_ += 1;
     selfEntry.stage_ = stage;
     selfEntry.reachesStore_ = reachesStore;
@@ -195,6 +201,27 @@
     return hashes;
 }
 
+auto HostTable::permitIssuer(absl::Time now, const std::vector<std::string> &zones, std::uint64_t backendHash) const -> std::optional<fleet::HostIdentity>
+{
+    const auto rank = [&](std::int32_t hash) {
+        return rendezvousRank(static_cast<std::uint32_t>(hash), backendHash);
+    };
+    auto first = hosts_.end();
+    for (auto host = hosts_.begin(); host != hosts_.end(); ++host) {
+        const auto isCandidate =
+            (host->first == selfHash_ || isAlive(host->second, now)) && host->second.stage_ == HostStage::Ready && isIn(host->second, zones);
+        if (isCandidate && (first == hosts_.end() || rank(host->first) < rank(first->first))) {
+            first = host;
+        }
+    }
+    return first == hosts_.end() ? std::nullopt : first->second.identity_;
+}
+
+auto HostTable::isInformed(absl::Time now) const -> bool
+{
+    return now - listeningSince_ >= livenessTimeout && now - self().lastHeartbeatAt_ <= maximumHeartbeatGap;
+}
+
 auto HostTable::self() const -> const KnownHost &
 {
     return hosts_.at(selfHash_);
--- a/libraries/process/hosttable.h
+++ b/libraries/process/hosttable.h
@@ -85,6 +85,16 @@
      */
     [[nodiscard]] auto shareHolders(absl::Time now) const -> std::vector<std::uint64_t>;
 
+    /**
+     * The host that issues permits for a backend server: the first ready one in the server's order among the live hosts of the given zones, or this one if it
+     * is ready there. None if there is no such host.
+     */
+    [[nodiscard]] auto permitIssuer(absl::Time now, const std::vector<std::string> &zones, std::uint64_t backendHash) const
+        -> std::optional<fleet::HostIdentity>;
+
+    /** Whether this host has listened for long enough, without a gap, to know which hosts are alive. */
+    [[nodiscard]] auto isInformed(absl::Time now) const -> bool;
+
     [[nodiscard]] auto self() const -> const KnownHost &;
 
 private:
@@ -92,6 +102,8 @@
     auto logLiveness(absl::Time now) -> void;
 
     std::int32_t selfHash_;
+    /** Since when this host has advanced its heartbeat without a gap. */
+    absl::Time listeningSince_ = absl::InfiniteFuture();
     std::map<std::int32_t, KnownHost> hosts_;
     /** Whether each host was alive when its liveness was last logged. */
     std::map<std::int32_t, bool> loggedAlive_;
--- a/libraries/process/hosttabletest.cpp
+++ b/libraries/process/hosttabletest.cpp
@@ -4,6 +4,9 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace lycheecleat;
@@ -199,3 +202,75 @@
         CHECK(first.ready(start).size() == 1);
     }
 }
+
+// Guards against hosts that take different hosts for the issuer of a server's permits, and against an issuer that is dead, leaving or has not started.
+TEST_CASE("all hosts agree on the issuer of a backend server's permits")
+{
+    const auto zones = std::vector<std::string> { "zone-a" };
+    auto tables = std::vector<HostTable> {};
+    for (const auto *name : { "first", "second", "third" }) {
+        tables.emplace_back(identity(name, 1));
+    }
+    tables.emplace_back(inZone(identity("elsewhere", 1), "zone-b"));
+    const auto exchange = [&](absl::Time now, std::size_t silent) {
+        for (auto index = std::size_t { 0 }; index < tables.size(); ++index) {
+            if (index != silent) {
+                tables[index].advanceHeartbeat(now, HostStage::Ready, true);
+            }
+        }
+        for (auto &receiver : tables) {
+            for (auto index = std::size_t { 0 }; index < tables.size(); ++index) {
+                receiver.applyGossip(now, gossipOf(tables[index], now));
+            }
+        }
+    };
+    const auto issuerOf = [&](const HostTable &table, absl::Time now, std::uint64_t backend) {
+        const auto issuer = table.permitIssuer(now, zones, backend);
+        return issuer ? issuer->name : std::string {};
+    };
+    CHECK(tables.back().permitIssuer(start, zones, 1) == std::nullopt);
+    exchange(start, tables.size());
+    auto issuers = std::set<std::string> {};
+    for (auto backend = std::uint64_t { 1 }; backend < 50; ++backend) {
+        const auto issuer = issuerOf(tables.front(), start, backend);
+        issuers.insert(issuer);
+        for (const auto &table : tables) {
+            CHECK(issuerOf(table, start, backend) == issuer);
+        }
+    }
+    CHECK(issuers == std::set<std::string> { "first", "second", "third" });
+    // The first host falls silent, then the second one leaves.
+    const auto later = start + absl::Seconds(3);
+    exchange(later, 0);
+    for (auto backend = std::uint64_t { 1 }; backend < 50; ++backend) {
+        CHECK(issuerOf(tables.back(), later, backend) != "first");
+    }
+    tables[1].advanceHeartbeat(later, HostStage::Leaving, true);
+    tables.back().applyGossip(later, gossipOf(tables[1], later));
+    for (auto backend = std::uint64_t { 1 }; backend < 50; ++backend) {
+        CHECK(issuerOf(tables.back(), later, backend) == "third");
+    }
+}
+
+// Guards against a host that issues permits before it knows the others, after a start, a freeze or a time without processor.
+TEST_CASE("a host is informed once it has listened for the liveness timeout without a gap")
+{
+    auto table = HostTable(identity("self", 1));
+    CHECK(!table.isInformed(start));
+    auto now = start;
+    const auto runFor = [&](absl::Duration duration) {
+        for (const auto end = now + duration; now < end; now += absl::Milliseconds(250)) {
+            table.advanceHeartbeat(now, HostStage::Ready, true);
+        }
+    };
+    runFor(absl::Seconds(2));
+    CHECK(!table.isInformed(now));
+    runFor(absl::Seconds(1));
+    CHECK(table.isInformed(now));
+    now += absl::Seconds(2);
+    CHECK(!table.isInformed(now));
+    runFor(absl::Seconds(2));
+    CHECK(!table.isInformed(now));
+    runFor(absl::Seconds(1));
+    CHECK(table.isInformed(now));
+}
--- a/libraries/process/twobackendfixture.h
+++ b/libraries/process/twobackendfixture.h
@@ -7,7 +7,9 @@
 
 #include <fmt/format.h>
 
+#include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -94,6 +96,14 @@
             settings.retryBudgetExtra_ = 10000;
             return settings;
         };
+        services.askForPermit_ = [this](absl::Time, const PermitQuery &query, absl::Time) -> std::optional<PermitAnswer> {
+            permitsAsked_ += 1;
+            if (isIssuerSilent_) {
+                return std::nullopt;
+            }
+            permits_ -= 1;
+            return PermitAnswer { { permits_ >= 0, permits_ >= 0 ? absl::ZeroDuration() : absl::Milliseconds(1) }, query.known_.statement_ };
+        };
         handler_ = std::make_unique<FleetRequestHandler>(services);
     }
 
@@ -110,6 +120,19 @@
         return handler_->handle({ content, monotonicNow(), callerSocket, 0 }).httpResponse_;
     }
 
+    /** Sets how many permits the issuer grants before it refuses further ones, and whether it answers at all. */
+    auto setPermits(int permits, bool isIssuerSilent = false) -> void
+    {
+        permits_ = permits;
+        isIssuerSilent_ = isIssuerSilent;
+    }
+
+    /** Permits that the handler has asked for. */
+    [[nodiscard]] auto permitsAsked() const -> int
+    {
+        return permitsAsked_;
+    }
+
     [[nodiscard]] auto requestCount(std::size_t server) const -> int
     {
         return servers_[server]->requestCount();
@@ -121,6 +144,9 @@
     }
 
 private:
+    std::atomic<int> permits_ = 0;
+    std::atomic<int> permitsAsked_ = 0;
+    std::atomic<bool> isIssuerSilent_ = false;
     std::vector<std::unique_ptr<ScriptedServer>> servers_;
     std::unique_ptr<FleetState> state_;
     std::unique_ptr<FleetRequestHandler> handler_;
--- a/libraries/request/backendadmission.cpp
+++ b/libraries/request/backendadmission.cpp
@@ -1,6 +1,7 @@
 #include "request/backendadmission.h"
 
 #include <algorithm>
+#include <array>
 
 namespace lycheecleat
 {
@@ -16,6 +17,8 @@
         return "leaving";
     case BackendRestriction::Paused:
         return "paused";
+    case BackendRestriction::LimitReached:
+        return "limit-reached";
     case BackendRestriction::Returning:
         return "returning";
     case BackendRestriction::ColdRateReached:
@@ -35,7 +38,9 @@
 
 auto forbidsSending(BackendRestriction restriction) -> bool
 {
-    return restriction == BackendRestriction::Unregistered || restriction == BackendRestriction::Leaving || restriction == BackendRestriction::Paused;
+    constexpr auto forbidding =
+        std::array { BackendRestriction::Unregistered, BackendRestriction::Leaving, BackendRestriction::Paused, BackendRestriction::LimitReached };
+    return std::find(forbidding.begin(), forbidding.end(), restriction) != forbidding.end();
 }
 
 auto admissionOf(const AdmissionInput &input, absl::Time now) -> BackendAdmission
@@ -50,6 +55,9 @@
     if (now < condition.pausedUntil_) {
         return { BackendRestriction::Paused, condition.pausedUntil_ };
     }
+    if (condition.limit_.requestsPerSecond_ && !input.hasPermit_ && !hasPermit(condition.permits_, now)) {
+        return { BackendRestriction::LimitReached, std::max(now, condition.permits_.askAgainAt_) };
+    }
     if (condition.returnWindow_ > 0 && condition.inFlight_ >= condition.returnWindow_) {
         // A server that does not respond since its return may not respond at all.
         return { BackendRestriction::Returning, isEjected(condition, now) ? absl::InfiniteFuture() : now };
@@ -71,7 +79,8 @@
     auto earliest = std::optional<absl::Time> {};
     for (const auto &admission : admissions) {
         const auto restriction = admission.restriction_;
-        if (isLastResort(restriction) || restriction == BackendRestriction::ColdRateReached) {
+        const auto isRateReached = restriction == BackendRestriction::ColdRateReached || restriction == BackendRestriction::LimitReached;
+        if (isLastResort(restriction) || isRateReached) {
             return std::nullopt;
         }
         earliest = std::min(earliest.value_or(absl::InfiniteFuture()), admission.until_);
@@ -90,6 +99,11 @@
     availability.inFlight_ = condition.inFlight_;
     availability.serviceTime_ = condition.serviceTime_;
     availability.isReturning_ = condition.returnWindow_ > 0;
+    availability.limit_ = condition.limit_.requestsPerSecond_;
+    if (availability.admission_.restriction_ == BackendRestriction::LimitReached) {
+        const auto withPermit = AdmissionInput { condition, input.usableUntil_, input.coldRateLimit_, true };
+        availability.lacksOnlyPermit_ = admissionOf(withPermit, now).restriction_ == BackendRestriction::None;
+    }
     if (condition.loadAt_ != absl::InfinitePast()) {
         availability.loadAge_ = now - condition.loadAt_;
     }
--- a/libraries/request/backendadmission.h
+++ b/libraries/request/backendadmission.h
@@ -21,6 +21,8 @@
     Leaving,
     /** It asked for no requests for a time. */
     Paused,
+    /** It named a limit for all hosts together, and this host has no permit to send it a request. */
+    LimitReached,
     /** It returns from a pause, and as many requests as it may have are in flight. */
     Returning,
     /** It is cold, and this host's rate limit for it is used up. */
@@ -58,6 +60,8 @@
     absl::Time usableUntil_ = absl::InfiniteFuture();
     /** This host's rate limit; none when the server is not cold. */
     std::optional<ColdRateLimit> coldRateLimit_ = std::nullopt;
+    /** Whether the request already has a permit under the server's limit. */
+    bool hasPermit_ = false;
 };
 
 /** Decides whether the backend server may get a request now. */
@@ -65,7 +69,7 @@
 
 /**
  * When the first of several backend servers may get a request: infinite if all are leaving or gone. None if there are no servers, or if one is restricted
- * by its load, its failures or its cold start, whose end is not known.
+ * by its load, its failures, its cold start or its limit, whose end is not known.
  */
 [[nodiscard]] auto earliestReturn(const std::vector<BackendAdmission> &admissions) -> std::optional<absl::Time>;
 
@@ -82,6 +86,10 @@
     absl::Duration serviceTime_ = absl::ZeroDuration();
     /** It returns from a pause, so that a limited number of requests may be in flight there. */
     bool isReturning_ = false;
+    /** Nothing but the lack of a permit keeps requests away. */
+    bool lacksOnlyPermit_ = false;
+    /** Requests a second that it takes from all hosts together; absent when it names no limit. */
+    std::optional<double> limit_ = std::nullopt;
     /** Age of the last load report; absent when there is none. */
     std::optional<absl::Duration> loadAge_ = std::nullopt;
 };
--- a/libraries/request/backendadmissiontest.cpp
+++ b/libraries/request/backendadmissiontest.cpp
@@ -69,6 +69,13 @@
     const auto fill = [](BackendCondition &condition) {
         recordExchange(condition, start, { ExchangeOutcome::Overloaded });
     };
+    const auto limit = [](BackendCondition &condition) {
+        recordSignals(condition, start, limited(3), start, absl::ZeroDuration());
+    };
+    const auto limitWithPermit = [&](BackendCondition &condition) {
+        limit(condition);
+        recordAnswer(condition.permits_, start, PermitDecision { true, absl::ZeroDuration() });
+    };
     const auto infinite = absl::InfiniteFuture();
     const auto cases = std::vector<AdmissionCase> {
         { "nothing known", nothing, infinite, {}, {}, None, absl::InfinitePast() },
@@ -83,6 +90,62 @@
         { "full", fill, infinite, {}, {}, Full, start + absl::Milliseconds(250) },
         { "cold, rate used up", nothing, infinite, ColdRateLimit { true, 0 }, {}, ColdRateReached, start },
         { "cold, rate left", nothing, infinite, ColdRateLimit { true, 1 }, {}, None, absl::InfinitePast() },
+        { "limited", limit, infinite, {}, {}, LimitReached, start },
+        { "limited, with a permit", limitWithPermit, infinite, {}, {}, None, absl::InfinitePast() },
+        { "limited, the permit has ended", limitWithPermit, infinite, {}, absl::Seconds(2), LimitReached, start + absl::Seconds(2) },
+        { "limited, a permit was refused for a time",
+          [&](BackendCondition &condition) {
+              limit(condition);
+              recordAnswer(condition.permits_, start, PermitDecision { false, absl::Seconds(1) });
+          },
+          infinite,
+          {},
+          {},
+          LimitReached,
+          start + absl::Seconds(1) },
+        { "limited and paused",
+          [&](BackendCondition &condition) {
+              limit(condition);
+              markPaused(condition);
+          },
+          infinite,
+          {},
+          {},
+          Paused,
+          start + pauseTime },
+        { "limited, cold and returning from a pause, with a permit",
+          [&](BackendCondition &condition) {
+              markPaused(condition);
+              limitWithPermit(condition);
+              condition.pausedUntil_ = start;
+              recordSend(condition, start);
+          },
+          infinite,
+          ColdRateLimit { true, 0 },
+          {},
+          Returning,
+          start },
+        { "limited, ejected and full",
+          [&](BackendCondition &condition) {
+              eject(condition);
+              fill(condition);
+              limit(condition);
+          },
+          infinite,
+          {},
+          {},
+          LimitReached,
+          start },
+        { "limit ended",
+          [&](BackendCondition &condition) {
+              limit(condition);
+              recordSignals(condition, start, limited(std::nullopt), start + absl::Seconds(1), absl::ZeroDuration());
+          },
+          infinite,
+          {},
+          {},
+          None,
+          absl::InfinitePast() },
         { "leaving and paused",
           [&](BackendCondition &condition) {
               markLeaving(condition);
@@ -175,7 +238,7 @@
         bool forbidsSending_;
     };
     const auto cases = std::vector<RestrictionCase> {
-        { None, false, false },      { Unregistered, false, true },     { Leaving, false, true }, { Paused, false, true },
+        { None, false, false },      { Unregistered, false, true },     { Leaving, false, true }, { Paused, false, true }, { LimitReached, false, true },
         { Returning, false, false }, { ColdRateReached, false, false }, { Ejected, true, false }, { Full, true, false },
     };
     for (const auto &restrictionCase : cases) {
@@ -327,9 +390,56 @@
         { "one full", { { Paused, soon }, { Full, start } }, std::nullopt },
         { "one ejected", { { Paused, soon }, { Ejected, start } }, std::nullopt },
         { "one cold", { { Paused, soon }, { ColdRateReached, start } }, std::nullopt },
+        { "one at its limit", { { Paused, soon }, { LimitReached, start } }, std::nullopt },
     };
     for (const auto &returnCase : cases) {
         CAPTURE(returnCase.title_);
         CHECK(earliestReturn(returnCase.admissions_) == returnCase.expected_);
     }
 }
+
+// Guards against permits that are asked for although the request could not be sent with them, and against a request that is held back despite its permit.
+TEST_CASE("a permit is of use only if nothing else keeps requests from the backend server")
+{
+    struct PermitCase
+    {
+        std::string title_;
+        std::function<void(BackendCondition &)> prepare_;
+        std::optional<ColdRateLimit> coldRateLimit_;
+        bool lacksOnlyPermit_;
+    };
+    const auto cases = std::vector<PermitCase> {
+        { "nothing else", [](BackendCondition &) {}, {}, true },
+        { "cold, rate left", [](BackendCondition &) {}, ColdRateLimit { true, 1 }, true },
+        { "cold, rate used up", [](BackendCondition &) {}, ColdRateLimit { true, 0 }, false },
+        { "ejected",
+          [](BackendCondition &condition) {
+              recordExchange(condition, start, { ExchangeOutcome::Unreachable });
+          },
+          {},
+          false },
+        { "full",
+          [](BackendCondition &condition) {
+              recordExchange(condition, start, { ExchangeOutcome::Overloaded });
+          },
+          {},
+          false },
+        { "leaving",
+          [](BackendCondition &condition) {
+              recordSignals(condition, start, leaving(), start, absl::ZeroDuration());
+          },
+          {},
+          false },
+    };
+    for (const auto &permitCase : cases) {
+        CAPTURE(permitCase.title_);
+        auto condition = BackendCondition {};
+        recordSignals(condition, start, limited(3), start, absl::ZeroDuration());
+        permitCase.prepare_(condition);
+        const auto availability = availabilityOf({ condition, absl::InfiniteFuture(), permitCase.coldRateLimit_ }, start);
+        CHECK(availability.lacksOnlyPermit_ == permitCase.lacksOnlyPermit_);
+        CHECK(availability.limit_ == 3);
+        const auto withPermit = AdmissionInput { condition, absl::InfiniteFuture(), permitCase.coldRateLimit_, true };
+        CHECK((admissionOf(withPermit, start).restriction_ == BackendRestriction::None) == permitCase.lacksOnlyPermit_);
+    }
+}
--- a/libraries/request/backendcondition.cpp
+++ b/libraries/request/backendcondition.cpp
@@ -1,5 +1,7 @@
 #include "request/backendcondition.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -105,12 +107,8 @@
 // Hosts that precede this one in an order that is the same on every host and differs between backend servers.
 auto precedingHostCount(const std::vector<std::uint64_t> &hosts, std::uint64_t self, std::uint64_t backend) -> std::size_t
 {
-    const auto rank = [&](std::uint64_t host) {
-        constexpr auto hashMultiplier = 0x9e3779b97f4a7c15ULL;
-        return (host ^ backend) * hashMultiplier;
-    };
     return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](std::uint64_t host) {
-        return host != self && rank(host) < rank(self);
+        return host != self && rendezvousRank(host, backend) < rendezvousRank(self, backend);
     }));
 }
 
--- a/libraries/request/backendcondition.h
+++ b/libraries/request/backendcondition.h
@@ -54,6 +54,8 @@
     int returnWindow_ = 0;
     /** What the server last said about its limit. Holds as long as the incarnation. */
     LimitStatement limit_;
+    /** This host's permits while the server has a limit. */
+    HeldPermits permits_;
     /** Requests of this host that have been sent and have not ended. */
     int inFlight_ = 0;
     /** Time of the last response, or of the last request sent while no other was in flight, whichever is later. The stall timeout starts then. */
--- a/libraries/request/backendlimit.cpp
+++ b/libraries/request/backendlimit.cpp
@@ -14,11 +14,12 @@
  */
 constexpr auto issuedFraction = 0.7;
 
-/** Permits that an issuer accumulates while none are asked for. */
-constexpr auto permitCapacity = 2.0;
+/** Permits that an issuer accumulates while none are asked for: those of one second, within these bounds. */
+constexpr auto minimumCapacity = 1.0;
+constexpr auto maximumCapacity = 2.0;
 
 /** A lower limit is taken for this one: without any request, no response could tell that the limit has ended. */
-constexpr auto minimumRequestsPerSecond = 0.25;
+constexpr auto minimumRequestsPerSecond = 0.5;
 
 /** A permit that was granted is used within the time for opening a connection. */
 constexpr auto permitLifetime = absl::Seconds(1);
@@ -51,8 +52,9 @@
 auto takePermit(PermitBucket &bucket, absl::Time now, double requestsPerSecond) -> PermitDecision
 {
     const auto permitsPerSecond = std::max(requestsPerSecond, minimumRequestsPerSecond) * issuedFraction;
+    const auto capacity = std::clamp(permitsPerSecond, minimumCapacity, maximumCapacity);
     if (bucket.refilledAt_ != absl::InfinitePast()) {
-        bucket.permits_ = std::min(permitCapacity, bucket.permits_ + permitsPerSecond * absl::ToDoubleSeconds(now - bucket.refilledAt_));
+        bucket.permits_ = std::min(capacity, bucket.permits_ + permitsPerSecond * absl::ToDoubleSeconds(now - bucket.refilledAt_));
     }
     bucket.refilledAt_ = now;
     const auto isGranted = bucket.permits_ >= 1;
--- a/libraries/request/backendlimit.h
+++ b/libraries/request/backendlimit.h
@@ -6,7 +6,9 @@
 
 #include <absl/time/time.h>
 
+#include <cstdint>
 #include <optional>
+#include <string>
 
 namespace lycheecleat
 {
@@ -28,6 +30,16 @@
  */
 [[nodiscard]] auto statementAfterResponse(const LimitStatement &known, std::optional<double> named, absl::Time sentAt, absl::Time receivedAt) -> LimitStatement;
 
+/** A statement about one incarnation of a backend server. */
+struct KnownLimit
+{
+    std::string backend_;
+    std::int64_t incarnation_ = 0;
+    LimitStatement statement_;
+
+    auto operator==(const KnownLimit &other) const -> bool = default;
+};
+
 /** The later one of two statements. */
 [[nodiscard]] auto laterStatement(const LimitStatement &known, const LimitStatement &heard) -> LimitStatement;
 
@@ -50,6 +62,15 @@
     auto operator==(const PermitDecision &other) const -> bool = default;
 };
 
+/** An issuer's decision, and what it knows of the limit. */
+struct PermitAnswer
+{
+    PermitDecision decision_;
+    LimitStatement statement_;
+
+    auto operator==(const PermitAnswer &other) const -> bool = default;
+};
+
 /** Takes a permit under the limit if there is one. A bucket that has not been used yet is empty, since another issuer may have handed out permits just before.
  */
 [[nodiscard]] auto takePermit(PermitBucket &bucket, absl::Time now, double requestsPerSecond) -> PermitDecision;
