--- a/tests/platform/support/platformbackend.cpp
+++ b/tests/platform/support/platformbackend.cpp
@@ -20,7 +20,6 @@
 
 constexpr auto slots = 8;
 constexpr auto maximumConnections = 300;
-constexpr auto serviceTime = std::chrono::milliseconds { 10 };
 constexpr auto maximumUnresponsiveTime = std::chrono::seconds { 10 };
 constexpr auto pollInterval = std::chrono::milliseconds { 20 };
 constexpr auto truncatedBodyBytes = std::size_t { 3 };
@@ -165,6 +164,13 @@
     signals_ = signals;
 }
 
+auto PlatformBackend::setWork(std::chrono::milliseconds serviceTime, std::size_t addedBytes) -> void
+{
+    const auto lock = std::lock_guard(mutex_);
+    serviceTime_ = serviceTime;
+    addedBytes_ = addedBytes;
+}
+
 auto PlatformBackend::instance() const -> const std::string &
 {
     return instance_;
@@ -266,12 +272,19 @@
     if (fault == PlatformBackendFault::RepeatedRejection) {
         repeatRejection(request.socket_);
     }
+    auto serviceTime = std::chrono::milliseconds {};
+    auto addedBytes = std::size_t { 0 };
+    {
+        const auto lock = std::lock_guard(mutex_);
+        serviceTime = serviceTime_;
+        addedBytes = addedBytes_;
+    }
     std::this_thread::sleep_for(serviceTime);
     auto response = HttpResponse {};
     response.headers_.emplace_back("X-Request-Id", id);
     response.headers_.emplace_back("X-Server-Stamp", instance_ + "." + id);
     response.headers_.emplace_back("X-Server-Load", "1,0," + std::to_string(slots));
-    response.body_ = "answer to " + id;
+    response.body_ = "answer to " + id + std::string(addedBytes, ' ');
     if (fault == PlatformBackendFault::Unresponsive) {
         const auto end = std::chrono::steady_clock::now() + maximumUnresponsiveTime;
         while (std::chrono::steady_clock::now() < end && !standin::isPeerClosed(request.socket_)) {
--- a/tests/platform/support/platformbackend.h
+++ b/tests/platform/support/platformbackend.h
@@ -98,6 +98,8 @@
 
     auto setFault(PlatformBackendFault fault) -> void;
     auto setSignals(const PlatformBackendSignals &signals) -> void;
+    /** Sets how long a request runs, and how many bytes are added to the body of its response. */
+    auto setWork(std::chrono::milliseconds serviceTime, std::size_t addedBytes = 0) -> void;
     [[nodiscard]] auto instance() const -> const std::string &;
 
     /** Number of rejections that were written once more. */
@@ -120,6 +122,8 @@
     mutable std::mutex mutex_;
     PlatformBackendFault fault_ = PlatformBackendFault::None;
     PlatformBackendSignals signals_;
+    std::chrono::milliseconds serviceTime_ { 10 };
+    std::size_t addedBytes_ = 0;
     int sequence_ = 0;
     bool isPermanentlyDeregistered_ = false;
     std::string registeredAddress_;
