End a planned stop only when all responses have been written

What callers saw: a response that a caller was still reading ended early when its host was stopped (LOST).

Cause: the stop waits until no request is being handled, and a request counted as handled only until its response was ready. The process then ended while responses were being written, at the earliest 3 s after SIGTERM.

Change: the server for callers counts a request from its head to the last byte of its response, and the stop waits for that, until 0.93 of the grace as before.

--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -218,6 +218,7 @@
     std::atomic<std::uint64_t> nextId_ = firstConnectionId;
     std::atomic<std::size_t> openConnections_ = 0;
     std::atomic<int> activeConnections_ = 0;
+    std::atomic<int> unansweredRequests_ = 0;
     std::atomic<bool> draining_ = false;
     std::atomic<bool> stopped_ = false;
     absl::Notification timeoutChecksEnd_;
@@ -428,7 +429,10 @@
                                                              : ConnectionStep::Close;
         }
     }
+    const auto isCounted = connection.listener_ == 0;
+    unansweredRequests_ += isCounted ? 1 : 0;
     const auto next = serveRequest(connection);
+    unansweredRequests_ -= isCounted ? 1 : 0;
     connection.headBegun_ = false;
     connection.arrival_.reset();
     connection.emptyLineBytes_ = 0;
@@ -592,6 +596,11 @@
     return state_->port_;
 }
 
+auto CallerServer::unansweredRequests() const -> int
+{
+    return state_->unansweredRequests_;
+}
+
 auto CallerServer::stop() -> void
 {
     if (!state_->timeoutThread_.joinable() || state_->draining_.exchange(true)) {
--- a/libraries/process/callerserver.h
+++ b/libraries/process/callerserver.h
@@ -109,6 +109,9 @@
     /** The port of address_, valid after start. */
     [[nodiscard]] auto port() const -> int;
 
+    /** Number of requests on address_ whose head has been read and whose response has not been written yet. */
+    [[nodiscard]] auto unansweredRequests() const -> int;
+
     /** Stops accepting connections, finishes every request in flight, closes all connections and returns. Responses carry Connection: close. */
     auto stop() -> void;
 
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -223,17 +223,17 @@
     const auto stopBeganAt = monotonicNow();
     const auto grace = reloadableSettings().stopGrace_;
     isLeaving_ = true;
-    logLine(wallNow(), LogLevel::Info, "stopping", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", requestHandler_.inFlight()) } });
+    logLine(wallNow(), LogLevel::Info, "stopping", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", callerServer_.unansweredRequests()) } });
     gossip_->announceHeartbeats(stopBeganAt);
     replicator_->deregister();
     while (monotonicNow() - stopBeganAt < grace * acceptingFraction) {
         absl::SleepFor(stopPollInterval);
     }
     isStopping_ = true;
-    while (requestHandler_.inFlight() > 0 && monotonicNow() - stopBeganAt < grace * finishedFraction) {
+    while (callerServer_.unansweredRequests() > 0 && monotonicNow() - stopBeganAt < grace * finishedFraction) {
         absl::SleepFor(stopPollInterval);
     }
-    logLine(wallNow(), LogLevel::Info, "stopped", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", requestHandler_.inFlight()) } });
+    logLine(wallNow(), LogLevel::Info, "stopped", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", callerServer_.unansweredRequests()) } });
 }
 
 auto FleetDaemon::isReady() const -> bool
