Take only requests that can end within a planned stop, and answer those that don't

Callers saw: of the requests that a stopping host took and passed on late in the grace, some were cut without an answer at its end (plannedstoptest: 5 or 6 of those sent 2.78 to 2.98 s after SIGTERM to backend servers that take 2.8 s), among them requests that may not be repeated.

Cause: a request was taken without asking whether it could end before the process does, and its wait for a backend server was bounded only by its own deadline.

Change: from SIGTERM on, admission refuses as not run the requests of a route that are expected to take longer than the host still runs (mean and four deviations of the earlier requests of the route on this host). Deadlines are clipped to 0.93 of the grace, where waits for backend servers end as at the deadline, so that every caller is answered; the process ends at 0.96 at the latest.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -248,6 +248,7 @@
     }
     const auto sentAt = monotonicNow();
     connection.watchCaller(call.repeatable_ ? call.callerSocket_ : -1);
+    connection.watchEnd(settings_.endDescriptor_);
     const auto writeStatus = connection.write(message, call.deadline_);
     if (connection.bytesWritten() == bytesWrittenBefore) {
         return failure(ExchangeStatus::NotSent, "no byte could be written to the connection");
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -122,6 +122,8 @@
     std::size_t maximumResponseBody_ = std::size_t { 64 } * 1024 * 1024;
     /** Largest total size of the response bodies that are being read at the same time. */
     std::size_t responseMemory_ = std::size_t { 512 } * 1024 * 1024;
+    /** Descriptor that becomes readable when the process ends; exchanges then end as at their deadlines. -1 when there is none. */
+    int endDescriptor_ = -1;
     /** Accepts a response body that is delimited only by the orderly close of its connection. */
     bool acceptsUndelimited_ = false;
     BackendHeaders headers_ = {};
--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -27,19 +27,23 @@
 // Limits one poll call, so that a distant deadline fits its millisecond argument.
 constexpr auto maximumPollTime = absl::Minutes(10);
 
-// Waits until the socket is ready (Done) or the caller's socket is closed by its peer (Abandoned); a negative callerSocket is not watched.
-auto waitFor(int socket, short events, absl::Time deadline, int callerSocket = -1) -> TransferStatus
+// Waits until the socket is ready (Done), the caller's socket is closed by its peer (Abandoned), or the end is readable or the deadline reached (TimedOut).
+// Negative descriptors are not watched.
+auto waitFor(int socket, short events, absl::Time deadline, int callerSocket = -1, int end = -1) -> TransferStatus
 {
     while (true) {
         const auto remaining = std::min(deadline - monotonicNow(), maximumPollTime);
         if (remaining <= absl::ZeroDuration()) {
             return TransferStatus::TimedOut;
         }
-        auto descriptors = std::array { pollfd { socket, events, 0 }, pollfd { callerSocket, POLLRDHUP, 0 } };
+        auto descriptors = std::array { pollfd { socket, events, 0 }, pollfd { callerSocket, POLLRDHUP, 0 }, pollfd { end, POLLIN, 0 } };
         const auto milliseconds = static_cast<int>(absl::ToInt64Milliseconds(absl::Ceil(remaining, absl::Milliseconds(1))));
         const auto ready = poll(descriptors.data(), descriptors.size(), milliseconds);
+        if (ready > 0 && descriptors[0].revents != 0) {
+            return TransferStatus::Done;
+        }
         if (ready > 0) {
-            return descriptors[0].revents != 0 ? TransferStatus::Done : TransferStatus::Abandoned;
+            return descriptors[1].revents != 0 ? TransferStatus::Abandoned : TransferStatus::TimedOut;
         }
         if (ready < 0 && errno != EINTR) {
             return TransferStatus::TimedOut;
@@ -111,6 +115,7 @@
 TcpConnection::TcpConnection(TcpConnection &&other) noexcept
     : socket_(std::exchange(other.socket_, -1))
     , watchedCaller_(other.watchedCaller_)
+    , watchedEnd_(other.watchedEnd_)
     , bytesWritten_(other.bytesWritten_)
     , consumed_(other.consumed_)
     , buffer_(std::move(other.buffer_))
@@ -121,6 +126,7 @@
 {
     std::swap(socket_, other.socket_);
     std::swap(watchedCaller_, other.watchedCaller_);
+    std::swap(watchedEnd_, other.watchedEnd_);
     std::swap(bytesWritten_, other.bytesWritten_);
     std::swap(consumed_, other.consumed_);
     std::swap(buffer_, other.buffer_);
@@ -175,7 +181,7 @@
         if (errno != EAGAIN && errno != EWOULDBLOCK) {
             return TransferStatus::Failed;
         }
-        const auto waited = waitFor(socket_, POLLOUT, deadline, watchedCaller_);
+        const auto waited = waitFor(socket_, POLLOUT, deadline, watchedCaller_, watchedEnd_);
         if (waited != TransferStatus::Done) {
             return waited;
         }
@@ -194,7 +200,7 @@
         if (status != TransferStatus::TimedOut) {
             return status;
         }
-        const auto waited = waitFor(socket_, POLLIN, deadline, watchedCaller_);
+        const auto waited = waitFor(socket_, POLLIN, deadline, watchedCaller_, watchedEnd_);
         if (waited != TransferStatus::Done) {
             return waited;
         }
@@ -206,6 +212,11 @@
     watchedCaller_ = socket;
 }
 
+auto TcpConnection::watchEnd(int descriptor) -> void
+{
+    watchedEnd_ = descriptor;
+}
+
 auto TcpConnection::fillAvailable() -> TransferStatus
 {
     return receive();
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -64,6 +64,9 @@
     /** Makes later waits of write and fill return Abandoned once the peer of the given socket has closed its connection; -1 stops watching. */
     auto watchCaller(int socket) -> void;
 
+    /** Makes later waits of write and fill end as at their deadlines once the given descriptor is readable; -1 stops watching. */
+    auto watchEnd(int descriptor) -> void;
+
     /** Reads available bytes into the buffer without waiting; TimedOut when there are none. */
     [[nodiscard]] auto fillAvailable() -> TransferStatus;
 
@@ -93,6 +96,7 @@
 
     int socket_ = -1;
     int watchedCaller_ = -1;
+    int watchedEnd_ = -1;
     std::size_t bytesWritten_ = 0;
     std::size_t consumed_ = 0;
     std::string buffer_;
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -30,8 +30,11 @@
 /** Fraction of the stop grace during which new requests are still accepted, since callers keep old lookup responses. */
 constexpr auto acceptingFraction = 0.5;
 
+/** Fraction of the stop grace after which requests that have not ended are answered as at their deadlines. */
+constexpr auto waitingFraction = 0.93;
+
 /** Fraction of the stop grace after which the process ends at the latest. */
-constexpr auto finishedFraction = 0.93;
+constexpr auto finishedFraction = 0.96;
 
 constexpr auto stopPollInterval = absl::Milliseconds(20);
 
@@ -134,6 +137,9 @@
                                              [this] {
                                                  return isStopping_.load();
                                              },
+                                             [this] {
+                                                 return endsAt();
+                                             },
                                              [this](const RequestObservation &observation) {
                                                  metrics_.observe(observation);
                                              },
@@ -222,6 +228,7 @@
 {
     const auto stopBeganAt = monotonicNow();
     const auto grace = reloadableSettings().stopGrace_;
+    endsAtMillis_ = absl::ToUnixMillis(stopBeganAt + grace * waitingFraction);
     isLeaving_ = true;
     logLine(wallNow(), LogLevel::Info, "stopping", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", callerServer_.unansweredRequests()) } });
     gossip_->announceHeartbeats(stopBeganAt);
@@ -230,12 +237,22 @@
         absl::SleepFor(stopPollInterval);
     }
     isStopping_ = true;
+    while (callerServer_.unansweredRequests() > 0 && monotonicNow() < endsAt()) {
+        absl::SleepFor(stopPollInterval);
+    }
+    requestHandler_.endWaits();
     while (callerServer_.unansweredRequests() > 0 && monotonicNow() - stopBeganAt < grace * finishedFraction) {
         absl::SleepFor(stopPollInterval);
     }
     logLine(wallNow(), LogLevel::Info, "stopped", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", callerServer_.unansweredRequests()) } });
 }
 
+auto FleetDaemon::endsAt() const -> absl::Time
+{
+    const auto millis = endsAtMillis_.load();
+    return millis == 0 ? absl::InfiniteFuture() : absl::FromUnixMillis(millis);
+}
+
 auto FleetDaemon::isReady() const -> bool
 {
     return !isLeaving_ && state_.view()->policy_ != nullptr;
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -92,6 +92,7 @@
     auto collectSnapshot() const -> FleetDaemonSnapshot;
     auto readinessResponse() const -> CallerResponse;
     auto lookupResponse(const ReceivedRequest &request) -> CallerResponse;
+    auto endsAt() const -> absl::Time;
     auto isReady() const -> bool;
     auto stage() const -> HostStage;
     auto callerLimits() const -> CallerLimits;
@@ -105,6 +106,8 @@
     std::atomic<bool> isLeaving_ = false;
     /** New requests are refused. */
     std::atomic<bool> isStopping_ = false;
+    /** Monotonic time at which waits for backend servers end, in milliseconds; 0 while the process is not to end. */
+    std::atomic<std::int64_t> endsAtMillis_ = 0;
     FleetState state_;
     PermitExchange permits_;
     FleetRequestHandler requestHandler_;
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -12,6 +12,8 @@
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 #include <fmt/format.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <utility>
@@ -62,9 +64,10 @@
 constexpr auto firstServerError = 500;
 constexpr auto misdirectedStatus = 421;
 
-auto poolSettings(const CallerProtocol &protocol, std::size_t memory) -> BackendPoolSettings
+auto poolSettings(const CallerProtocol &protocol, std::size_t memory, int endDescriptor) -> BackendPoolSettings
 {
     auto settings = BackendPoolSettings {};
+    settings.endDescriptor_ = endDescriptor;
     settings.connectTimeout_ = connectTimeout;
     settings.idleLimit_ = idleLimit;
     settings.nonRepeatableIdleLimit_ = nonRepeatableIdleLimit;
@@ -165,12 +168,24 @@
 
 FleetRequestHandler::FleetRequestHandler(FleetRequestServices services)
     : services_(std::move(services))
-    , pool_(poolSettings(services_.protocol_, services_.memory_))
+    , endDescriptor_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    , pool_(poolSettings(services_.protocol_, services_.memory_, endDescriptor_))
     , quotas_(services_.hostName_, monotonicNow())
     , crashes_(maximumCrashRecords)
 {
 }
 
+FleetRequestHandler::~FleetRequestHandler()
+{
+    close(endDescriptor_);
+}
+
+auto FleetRequestHandler::endWaits() -> void
+{
+    const auto one = std::uint64_t { 1 };
+    static_cast<void>(write(endDescriptor_, &one, sizeof(one)));
+}
+
 auto FleetRequestHandler::handle(const ReceivedRequest &request) -> CallerResponse
 {
     inFlight_ += 1;
@@ -262,7 +277,12 @@
     if (absl::SimpleAtoi(headerValue(content.headers_, services_.protocol_.timeoutMillis_), &milliseconds)) {
         limit = std::min(limit, absl::Milliseconds(std::max<std::int64_t>(0, milliseconds)));
     }
-    state.deadline_ = state.received_.receivedAt_ + limit;
+    const auto endsAt = services_.endsAt_();
+    if (monotonicNow() + durations_.longestExpected(state.route_->name_) > endsAt) {
+        state.detail_ = "requests of the route take longer than this host still runs";
+        return Refusal::Stopping;
+    }
+    state.deadline_ = std::min(state.received_.receivedAt_ + limit, endsAt);
     chooseTargetAndCountRequest(state);
     {
         const auto lock = absl::ReaderMutexLock(&mutex_);
@@ -324,6 +344,7 @@
 auto FleetRequestHandler::send(RequestState &state) -> CallerResponse
 {
     while (true) {
+        state.deadline_ = std::min(state.deadline_, services_.endsAt_());
         if (state.deadline_ - monotonicNow() < (state.attempts_ == 0 ? absl::ZeroDuration() : minimumAttemptTime)) {
             state.refusal_ = state.mayHaveRun_ ? Refusal::DeadlineExceeded : Refusal::NoCapacity;
             break;
@@ -430,7 +451,8 @@
 
 auto FleetRequestHandler::maySendAgain(RequestState &state) -> bool
 {
-    return state.attempts_ < state.route_->maximumAttempts_ && state.deadline_ - monotonicNow() >= minimumAttemptTime && retries_.takeRetry(state.service_);
+    return state.attempts_ < state.route_->maximumAttempts_ && std::min(state.deadline_, services_.endsAt_()) - monotonicNow() >= minimumAttemptTime
+        && retries_.takeRetry(state.service_);
 }
 
 // A backend server that closes a connection without a whole response has crashed if it accepts no new connection either.
@@ -471,6 +493,9 @@
 
 auto FleetRequestHandler::finish(RequestState &state) -> CallerResponse
 {
+    if (state.attempts_ > 0 && !state.isAbandoned_) {
+        durations_.record(state.route_->name_, monotonicNow() - state.received_.receivedAt_);
+    }
     if (state.isAbandoned_) {
         log(state, 0, "caller_left");
         auto result = CallerResponse {};
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -13,6 +13,7 @@
 #include "process/requestobservation.h"
 #include "process/retrybudgets.h"
 #include "process/returnqueue.h"
+#include "process/routedurations.h"
 #include "request/backendranking.h"
 #include "request/callerprotocol.h"
 #include "request/crashsuspecttable.h"
@@ -43,6 +44,10 @@
     /** Hashes of the hosts among which quotas and rate limits are split at a monotonic time. */
     std::function<std::vector<std::uint64_t>(absl::Time)> shareHolders_;
     std::function<bool()> isStopping_;
+    /** Monotonic time at which all waits for backend servers end because the process does; infinite while it is not to end. */
+    std::function<absl::Time()> endsAt_ = [] {
+        return absl::InfiniteFuture();
+    };
     std::function<void(const RequestObservation &)> observe_;
     /** Asks for a permit for a backend server with a limit; none without an answer by the deadline. Blocks. */
     std::function<std::optional<PermitAnswer>(absl::Time, const PermitQuery &, absl::Time deadline)> askForPermit_ = nullptr;
@@ -55,10 +60,16 @@
 {
 public:
     explicit FleetRequestHandler(FleetRequestServices services);
+    ~FleetRequestHandler();
+    FleetRequestHandler(const FleetRequestHandler &) = delete;
+    auto operator=(const FleetRequestHandler &) -> FleetRequestHandler & = delete;
 
     /** Handles one request. Blocks until its response is whole, it is refused, or the caller has disconnected. */
     [[nodiscard]] auto handle(const ReceivedRequest &request) -> CallerResponse;
 
+    /** Ends all waits for backend servers as at the deadlines of their requests, so that the callers get responses before the process ends. */
+    auto endWaits() -> void;
+
     /** Refuses one request, as not run, because this host is overloaded. */
     [[nodiscard]] auto refuseOverloaded(const ReceivedRequest &request) -> CallerResponse;
 
@@ -117,6 +128,8 @@
     auto isRegionAllowed(const RequestState &state, const std::string &region) const -> bool;
 
     const FleetRequestServices services_;
+    /** Becomes readable by endWaits(). */
+    const int endDescriptor_;
     BackendPool pool_;
     BackendSelector selector_;
     ReturnQueue returns_;
@@ -124,6 +137,7 @@
     std::atomic<std::int64_t> nextMarkSweep_ = 0;
     OrganisationQuotas quotas_;
     RetryBudgets retries_;
+    RouteDurations durations_;
     mutable absl::Mutex mutex_;
     CrashSuspectTable crashes_ ABSL_GUARDED_BY(mutex_);
     std::atomic<int> inFlight_ = 0;
