Take a server for ended when it accepts no second connection, even if the first one stays open

A server that had ended was taken for a running one, so that a request which crashes servers was not recorded.

Cause: a connection that is established while the listening socket is being closed may get no reset.

Change: the second connection decides, whether the first one stays open or not. The wait before it is a setting of the pool, so that a test doesn't depend on how fast a thread is woken.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -14,9 +14,6 @@
 namespace
 {
 
-/** Time for which a new connection must stay open to show that its server is running; a busy machine closes the sockets of an ended process within it. */
-constexpr auto acceptedOpenTime = absl::Milliseconds(50);
-
 /** Responses to other requests that are skipped on a connection before the exchange fails. */
 constexpr auto maximumMismatchedResponses = 3;
 
@@ -290,10 +287,10 @@
         return false;
     }
     // When a process ends, the kernel may close its connections before its listening socket, which accepts connections until it is closed and then resets
-    // them. A running server that resets a connection, for example beyond its limit of connections, still accepts the next one.
-    const auto status = std::get<TcpConnection>(connected).fill(monotonicNow() + acceptedOpenTime);
-    const auto staysOpen = status == TransferStatus::TimedOut || status == TransferStatus::Done;
-    return staysOpen || !std::holds_alternative<Error>(connect());
+    // them, though not one that is established just then. A running server that resets a connection, for example beyond its limit of connections, still
+    // accepts the next one.
+    static_cast<void>(std::get<TcpConnection>(connected).fill(monotonicNow() + settings_.acceptedOpenTime_));
+    return !std::holds_alternative<Error>(connect());
 }
 
 auto BackendPool::closeIdle(const std::string &address) -> void
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -122,6 +122,8 @@
     std::size_t maximumResponseBody_ = std::size_t { 64 } * 1024 * 1024;
     /** Largest total size of the response bodies that are being read at the same time. */
     std::size_t responseMemory_ = std::size_t { 512 } * 1024 * 1024;
+    /** Time for which isAccepting() waits for the end of a connection that it has opened; a busy machine closes the sockets of an ended process within it. */
+    absl::Duration acceptedOpenTime_ = absl::Milliseconds(50);
     /** Descriptor that becomes readable when the process ends; exchanges then end as at their deadlines. -1 when there is none. */
     int endDescriptor_ = -1;
     /** Accepts a response body that is delimited only by the orderly close of its connection. */
@@ -138,7 +140,7 @@
     /** Sends a request and receives its response. After any failure the connection is closed. */
     [[nodiscard]] auto exchange(const BackendCall &call, const RequestContent &request) -> BackendExchange;
 
-    /** Whether a backend server accepts a new connection and keeps it open. Blocks for up to the connect timeout and 50 ms. */
+    /** Whether a backend server goes on accepting connections, even if it closes them. Blocks for up to twice the connect timeout and acceptedOpenTime_. */
     [[nodiscard]] auto isAccepting(const std::string &address) const -> bool;
 
     /** Closes the idle connections to a backend server. */
--- a/libraries/connection/backendpooltest.cpp
+++ b/libraries/connection/backendpooltest.cpp
@@ -335,11 +335,14 @@
 namespace
 {
 
-/** A listening socket whose connections nobody accepts, and which is closed some time after it was opened. */
+/**
+ * A listening socket that is closed some time after it was opened. Nobody accepts its connections, or one is accepted first, which stays open and gets a byte
+ * after the close.
+ */
 class ClosingListener
 {
 public:
-    explicit ClosingListener(absl::Duration openTime)
+    explicit ClosingListener(absl::Duration openTime, bool acceptsOne = false)
         : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         auto address = sockaddr_in {};
@@ -350,15 +353,20 @@
         auto size = socklen_t { sizeof(address) };
         getsockname(socket_, reinterpret_cast<sockaddr *>(&address), &size);
         address_ = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
-        closer_ = std::thread([this, openTime] {
+        closer_ = std::thread([this, openTime, acceptsOne] {
+            if (acceptsOne) {
+                accepted_ = accept4(socket_, nullptr, nullptr, SOCK_CLOEXEC);
+            }
             absl::SleepFor(openTime);
             ::close(socket_);
+            static_cast<void>(send(accepted_, "x", 1, MSG_NOSIGNAL));
         });
     }
 
     ~ClosingListener()
     {
         closer_.join();
+        ::close(accepted_);
     }
 
     ClosingListener(const ClosingListener &) = delete;
@@ -371,10 +379,19 @@
 
 private:
     int socket_;
+    int accepted_ = -1;
     std::string address_;
     std::thread closer_;
 };
 
+/** A pool that waits longer for the end of a connection than a busy machine delays a thread. */
+auto patientPool() -> BackendPool
+{
+    auto settings = BackendPoolSettings {};
+    settings.acceptedOpenTime_ = absl::Seconds(5);
+    return BackendPool(settings);
+}
+
 }
 
 // Guards against taking a server that has crashed for a running one: the kernel may close the connections of an ended process before its listening socket,
@@ -393,6 +410,17 @@
     }
 }
 
+// Guards against taking a server that has crashed for a running one: a connection that was opened just when the listening socket was closed may get no reset.
+TEST_CASE("a server whose listening socket was closed does not accept connections although an earlier one stays open")
+{
+    const auto pool = patientPool();
+    for (const auto openTime : { absl::ZeroDuration(), absl::Milliseconds(5), absl::Milliseconds(20) }) {
+        CAPTURE(absl::FormatDuration(openTime));
+        const auto ending = ClosingListener(openTime, true);
+        CHECK(!pool.isAccepting(ending.address()));
+    }
+}
+
 // Guards against taking a running server for a crashed one: beyond its limit of connections it resets a connection, and accepts the next one.
 TEST_CASE("a server that resets each connection but accepts the next one is not taken for an ended one")
 {
