Take a server that resets new connections for a running one also when a connection attempt ends with the reset

A running server above its limit of connections was taken for one that had crashed, so that a proper request could be recorded as one that crashes servers.

Cause: the reset can arrive before the connection attempt has been looked at; the attempt then ends with "connection reset", which counted like "refused". The other tests of this kind passed because the reset came later there.

Change: TcpConnection::isListening, which takes an attempt that was established and reset for a listening server, decides; a refused or unanswered one is none. connect() shares the code and is unchanged otherwise.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -277,20 +277,16 @@
 
 auto BackendPool::isAccepting(const std::string &address) const -> bool
 {
-    const auto connect = [&] {
-        return attempt([&] {
-            return TcpConnection::connect(address, monotonicNow() + settings_.connectTimeout_);
-        });
-    };
-    auto connected = connect();
-    if (std::holds_alternative<Error>(connected)) {
-        return false;
-    }
+    auto connected = attempt([&] {
+        return TcpConnection::connect(address, monotonicNow() + settings_.connectTimeout_);
+    });
     // When a process ends, the kernel may close its connections before its listening socket, which accepts connections until it is closed and then resets
     // them, though not one that is established just then. A running server that resets a connection, for example beyond its limit of connections, still
     // accepts the next one.
-    static_cast<void>(std::get<TcpConnection>(connected).fill(monotonicNow() + settings_.acceptedOpenTime_));
-    return !std::holds_alternative<Error>(connect());
+    if (auto *connection = std::get_if<TcpConnection>(&connected)) {
+        static_cast<void>(connection->fill(monotonicNow() + settings_.acceptedOpenTime_));
+    }
+    return TcpConnection::isListening(address, monotonicNow() + settings_.connectTimeout_);
 }
 
 auto BackendPool::closeIdle(const std::string &address) -> void
--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -57,6 +57,26 @@
     return strerror_r(code, buffer.data(), buffer.size());
 }
 
+// Establishes a connection on a new socket. Returns 0 or an errno value: ETIMEDOUT at the deadline, ECANCELED when the peer of callerSocket has closed its
+// connection, ECONNRESET when the connection was established and reset at once.
+auto establish(int socket, const sockaddr_storage &address, socklen_t length, absl::Time deadline, int callerSocket) -> int
+{
+    if (::connect(socket, reinterpret_cast<const sockaddr *>(&address), length) == 0) {
+        return 0;
+    }
+    if (errno != EINPROGRESS) {
+        return errno;
+    }
+    const auto waited = waitFor(socket, POLLOUT, deadline, callerSocket);
+    if (waited != TransferStatus::Done) {
+        return waited == TransferStatus::Abandoned ? ECANCELED : ETIMEDOUT;
+    }
+    auto code = 0;
+    auto size = socklen_t { sizeof(code) };
+    getsockopt(socket, SOL_SOCKET, SO_ERROR, &code, &size);
+    return code;
+}
+
 }
 
 auto waitForPeerClose(int socket, absl::Time deadline) -> bool
@@ -147,23 +167,26 @@
     // A request is written in one call, so Nagle's algorithm would only add delay.
     const auto enabled = 1;
     setsockopt(connection.socket_, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-    if (::connect(connection.socket_, reinterpret_cast<const sockaddr *>(&parsed), length) == 0) {
+    switch (const auto code = establish(connection.socket_, parsed, length, deadline, callerSocket); code) {
+    case 0:
         return connection;
-    }
-    if (errno != EINPROGRESS) {
-        return makeError("connect", address, describeErrno(errno));
-    }
-    const auto waited = waitFor(connection.socket_, POLLOUT, deadline, callerSocket);
-    if (waited != TransferStatus::Done) {
-        return makeError("connect", address, waited == TransferStatus::Abandoned ? "the caller closed its connection" : "connection timed out");
-    }
-    auto code = 0;
-    auto size = socklen_t { sizeof(code) };
-    getsockopt(connection.socket_, SOL_SOCKET, SO_ERROR, &code, &size);
-    if (code != 0) {
+    case ECANCELED:
+        return makeError("connect", address, "the caller closed its connection");
+    default:
         return makeError("connect", address, describeErrno(code));
     }
-    return connection;
+}
+
+auto TcpConnection::isListening(const std::string &address, absl::Time deadline) -> bool
+{
+    auto parsed = sockaddr_storage {};
+    const auto length = parseSockaddr(address, parsed);
+    if (length == 0) {
+        return false;
+    }
+    const auto connection = TcpConnection(::socket(parsed.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const auto code = establish(connection.socket_, parsed, length, deadline, -1);
+    return code == 0 || code == ECONNRESET;
 }
 
 auto TcpConnection::write(std::string_view data, absl::Time deadline) -> TransferStatus
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -55,6 +55,9 @@
      */
     [[nodiscard]] static auto connect(const std::string &address, absl::Time deadline, int callerSocket = -1) -> Result<TcpConnection>;
 
+    /** Whether connections to an IP address and port are established by the deadline, be it that they are reset at once. */
+    [[nodiscard]] static auto isListening(const std::string &address, absl::Time deadline) -> bool;
+
     /** Writes all data. A byte counts as sent once the kernel has accepted it. */
     [[nodiscard]] auto write(std::string_view data, absl::Time deadline) -> TransferStatus;
 
