Check the age of a shift's token just before a request is sent

What callers and servers saw: more requests of one region moved to another in a second than the operator's cap allows (shiftcaptest failed once, 21 under a cap of 20, KNOWN-RED.txt).

Cause: the age of a token was checked when the slot was granted. After that a request may wait for the claim of its idempotency key and, for up to 500 ms, for a connection; requests held back so are sent together.

Change: the exchange asks once more just before the first byte is written. A request with an old token is not sent; it acquires a token and a slot again, which may be one of its own region, and uses the connection that was opened. Nothing of that blocks between reading the remaining time and writing it.

--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -116,7 +116,7 @@
         return failure(ExchangeStatus::CallerLeft, "the caller closed its connection before sending");
     }
     if (call.maySend_ && !call.maySend_()) {
-        return failure(ExchangeStatus::Cancelled, "the backend server was marked before sending");
+        return failure(ExchangeStatus::Cancelled, "it may no longer be sent");
     }
     return std::nullopt;
 }
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -27,7 +27,7 @@
 /** Fraction of the remaining time to wait for the first byte of a response on a reused connection; the rest is left for the retry. */
 constexpr auto firstByteFraction = 0.5;
 
-/** Longest wait for a slot after which a token of a shift's cap still counts. Tokens taken within this time may all be used at once. */
+/** Longest wait between taking a token of a shift's cap and sending. Tokens taken within this time may all be used at once. */
 constexpr auto longestTokenAge = absl::Milliseconds(20);
 
 /** Bounds the memory of crash records under many different failing requests. */
@@ -40,8 +40,9 @@
 {
     switch (status) {
     case ExchangeStatus::NotSent:
-    case ExchangeStatus::Cancelled:
         return Refusal::BackendUnreachable;
+    case ExchangeStatus::Cancelled:
+        return Refusal::NoCapacity;
     case ExchangeStatus::CallerLeft:
         return Refusal::CallerLeft;
     case ExchangeStatus::TimedOut:
@@ -56,6 +57,12 @@
     return Refusal::ResponseIncomplete;
 }
 
+// Whether no byte of the request reached a backend server.
+auto isUnsent(const BackendExchange &exchange) -> bool
+{
+    return exchange.status_ == ExchangeStatus::NotSent || exchange.status_ == ExchangeStatus::Cancelled;
+}
+
 auto exchangeHealthOf(const BackendExchange &exchange) -> ExchangeHealth
 {
     if (exchange.status_ == ExchangeStatus::Complete) {
@@ -100,6 +107,10 @@
     DispatchResult result_;
     std::vector<std::string> tried_;
     std::uint64_t hash_ = 0;
+    /** Shift whose cap the request counts against; null when none does. */
+    const Shift *shift_ = nullptr;
+    /** When its token of that cap was taken. */
+    absl::Time tokenAt_ = absl::InfinitePast();
     int unsentAttempts_ = 0;
     /** beforeSend_ has been called. */
     bool hasCalledBeforeSend_ = false;
@@ -227,17 +238,25 @@
         return std::nullopt;
     }
     const auto slotRequest = SlotRequest { state.pool_.name_, state.request_.organisation_, choice.region_, excluded, state.request_.deadline_, waitUntil };
+    state.shift_ = choice.shift_;
+    state.tokenAt_ = monotonicNow();
     auto grant = limits_->acquireSlot(now, slotRequest);
-    const auto grantedAt = monotonicNow();
     // Requests that held a token while they waited would all run at once when slots become free, far above the cap, so an old token is replaced by a new one.
-    const auto isTokenOld = choice.shift_ != nullptr && grantedAt - now > longestTokenAge;
-    if (grant && isTokenOld && !limits_->takeToken(grantedAt, shiftLimitName(choice.shift_->name_))) {
-        limits_->releaseSlot(monotonicNow(), *grant, true);
-        return std::nullopt;
+    if (grant && isTokenOld(state)) {
+        if (!limits_->takeToken(monotonicNow(), shiftLimitName(choice.shift_->name_))) {
+            limits_->releaseSlot(monotonicNow(), *grant, true);
+            return std::nullopt;
+        }
+        state.tokenAt_ = monotonicNow();
     }
     return grant;
 }
 
+auto Dispatcher::isTokenOld(const RequestState &state) -> bool
+{
+    return state.shift_ != nullptr && monotonicNow() - state.tokenAt_ > longestTokenAge;
+}
+
 // Returns the backend servers to leave out. Those whose exclusion is only preferred are used when no others remain.
 auto Dispatcher::exclusionsOf(RequestState &state) const -> std::vector<std::string>
 {
@@ -306,8 +325,12 @@
         call.firstByteTimeout_ = (call.deadline_ - monotonicNow()) * firstByteFraction;
         call.needsNewConnection_ = state.isRetried_;
     }
+    // The token may have become old in beforeSend_ or while the connection was opened. The request then acquires another one and uses that connection.
+    call.maySend_ = [&] {
+        return !isTokenOld(state);
+    };
     auto exchange = connections_.exchange(call, state.request_.content_);
-    const auto certainlyEnded = exchange.status_ == ExchangeStatus::Complete || exchange.status_ == ExchangeStatus::NotSent;
+    const auto certainlyEnded = exchange.status_ == ExchangeStatus::Complete || isUnsent(exchange);
     limits_->releaseSlot(monotonicNow(), grant, certainlyEnded);
     state.result_.detail_ = std::string(exchangeStatusName(exchange.status_)) + (exchange.detail_.empty() ? "" : ": " + exchange.detail_);
     recordExchange(state, grant, exchange);
@@ -317,6 +340,9 @@
 auto Dispatcher::recordExchange(const RequestState &state, const SlotGrant &grant, const BackendExchange &exchange) -> void
 {
     const auto &backend = grant.backend_;
+    if (exchange.status_ == ExchangeStatus::Cancelled) {
+        return;
+    }
     if (exchange.status_ == ExchangeStatus::Silent || exchange.status_ == ExchangeStatus::TimedOut) {
         // Other connections to the same server may be just as unresponsive.
         connections_.closeIdle(backend.address_);
@@ -337,10 +363,13 @@
 // Records the result of an attempt. Returns whether the request ends with it; otherwise another attempt follows.
 auto Dispatcher::evaluateExchange(RequestState &state, BackendExchange exchange) -> bool
 {
-    if (exchange.status_ == ExchangeStatus::NotSent) {
+    if (isUnsent(exchange)) {
         // An earlier attempt that may have been executed decides the outcome.
         if (!state.mayHaveReachedBackend_) {
-            state.result_.refusal_ = Refusal::BackendUnreachable;
+            state.result_.refusal_ = refusalOf(exchange.status_);
+        }
+        if (exchange.status_ == ExchangeStatus::Cancelled) {
+            state.tried_.pop_back();
         }
         state.unsentAttempts_ += 1;
         return state.unsentAttempts_ >= maximumUnsentAttempts;
--- a/libraries/process/dispatcher.h
+++ b/libraries/process/dispatcher.h
@@ -110,6 +110,7 @@
     [[nodiscard]] auto acquireSlot(RequestState &state) -> std::optional<SlotGrant>;
     [[nodiscard]] auto acquireSlotIn(RequestState &state, const RegionChoice &choice, const std::vector<std::string> &excluded, absl::Time waitUntil)
         -> std::optional<SlotGrant>;
+    [[nodiscard]] static auto isTokenOld(const RequestState &state) -> bool;
     [[nodiscard]] auto exclusionsOf(RequestState &state) const -> std::vector<std::string>;
     [[nodiscard]] auto endsBeforeSend(RequestState &state, const SlotGrant &grant) -> bool;
     [[nodiscard]] auto isNoLongerAllowed(RequestState &state, const SlotGrant &grant) -> bool;
