Move the values of Retry-After out of the request handler

The three functions and their bounds are a module of their own; no change of behaviour. Unit tests pass.

--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -4,6 +4,7 @@
 #include "core/digest.h"
 #include "core/log.h"
 #include "process/fleetrequeststate.h"
+#include "process/retryafter.h"
 #include "request/backendranking.h"
 #include "request/destinationchoice.h"
 #include "request/requestpath.h"
@@ -54,13 +55,6 @@
 /** Bytes of a caller's host or path that a log line holds. */
 constexpr auto maximumLoggedBytes = std::size_t { 128 };
 
-/** Bounds of Retry-After while all backend servers are paused. Callers honour it up to a part of their time, and another host may serve them sooner. */
-constexpr auto minimumRetryAfter = absl::Milliseconds(300);
-constexpr auto maximumRetryAfter = absl::Seconds(5);
-
-/** Upper bound of Retry-After while backend servers have reached their limits; the lower one is minimumRetryAfter. */
-constexpr auto maximumLimitRetryAfter = absl::Seconds(2);
-
 constexpr auto firstServerError = 500;
 constexpr auto misdirectedStatus = 421;
 
@@ -86,38 +80,6 @@
     return { maximumTokens, settings.retryBudgetRatio_ * usedRetryFraction, maximumTokens };
 }
 
-/** Value of Retry-After for a refusal, in seconds; none when the header is left out. */
-auto retryAfter(Refusal refusal) -> std::optional<std::string_view>
-{
-    switch (refusal) {
-    case Refusal::Stopping:
-        return "0";
-    case Refusal::NoCapacity:
-    case Refusal::BackendUnreachable:
-    case Refusal::Overloaded:
-        return "0.3";
-    case Refusal::NoConfiguration:
-        return "0.5";
-    case Refusal::RateExceeded:
-        return "1";
-    default:
-        return std::nullopt;
-    }
-}
-
-// Callers return evenly over some time, since a server with a limit has room for a few requests at any time and never for many at once.
-auto retryAfterLimit(const std::string &requestId) -> std::string
-{
-    constexpr auto steps = std::uint64_t { 1000 };
-    const auto fraction = static_cast<double>(stableHash(requestId) % steps) / static_cast<double>(steps);
-    return fmt::format("{:.1f}", absl::ToDoubleSeconds(minimumRetryAfter + (maximumLimitRetryAfter - minimumRetryAfter) * fraction));
-}
-
-auto retryAfterReturn(absl::Time now, absl::Time returnAt) -> std::string
-{
-    return fmt::format("{:.1f}", absl::ToDoubleSeconds(std::clamp(returnAt - now, minimumRetryAfter, maximumRetryAfter)));
-}
-
 auto millisecondsText(absl::Duration duration) -> std::string
 {
     return fmt::format("{:.1f}", absl::ToDoubleMilliseconds(duration));
