Move caller messages and the state of a connection out of the server for callers

The conversions of messages, the state of a connection and the texts of socket addresses are in files of their own; no change of behaviour. Unit tests pass.

--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -122,6 +122,22 @@
     return inet_pton(AF_INET, host.c_str(), &address->sin_addr) == 1 ? sizeof(sockaddr_in) : 0;
 }
 
+auto addressText(const sockaddr_storage &address) -> std::string
+{
+    auto buffer = std::array<char, INET6_ADDRSTRLEN> {};
+    const auto *ip = address.ss_family == AF_INET6 ? static_cast<const void *>(&reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_addr)
+                                                   : static_cast<const void *>(&reinterpret_cast<const sockaddr_in *>(&address)->sin_addr);
+    inet_ntop(address.ss_family, ip, buffer.data(), buffer.size());
+    return buffer.data();
+}
+
+auto portOf(const sockaddr_storage &address) -> int
+{
+    const auto port =
+        address.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_port : reinterpret_cast<const sockaddr_in *>(&address)->sin_port;
+    return ntohs(port);
+}
+
 TcpConnection::TcpConnection(int socket)
     : socket_(socket)
 {
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -28,6 +28,11 @@
 /** Parses "127.0.0.1:80" or "[::1]:80"; port 0 is allowed. Returns the length of the parsed address, 0 when the text is malformed. */
 [[nodiscard]] auto parseSockaddr(const std::string &text, sockaddr_storage &parsed) -> socklen_t;
 
+/** The IP address as text, without the port. */
+[[nodiscard]] auto addressText(const sockaddr_storage &address) -> std::string;
+
+[[nodiscard]] auto portOf(const sockaddr_storage &address) -> int;
+
 /** Waits until the peer of a socket closes its connection; false at the deadline, or for socket -1, which is never closed. */
 [[nodiscard]] auto waitForPeerClose(int socket, absl::Time deadline) -> bool;
 
--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -4,6 +4,8 @@
 #include "connection/tcpconnection.h"
 #include "core/clock.h"
 #include "core/log.h"
+#include "process/callerconnection.h"
+#include "process/callermessages.h"
 #include "process/processdelay.h"
 #include "process/requestmessages.h"
 #include "request/refusal.h"
@@ -62,33 +64,6 @@
 constexpr auto maximumDiscardedBytes = std::size_t { 4 } * 1024 * 1024;
 
 constexpr auto bodyTooLargeDetail = "the body is larger than allowed";
-constexpr auto noContentStatus = 204;
-constexpr auto notModifiedStatus = 304;
-
-/** When the first bytes of a request were read, and how long they had been at this host by then. */
-struct RequestArrival
-{
-    absl::Time readAt_;
-    absl::Duration unreadTime_;
-};
-
-/** The state of a caller's connection. */
-struct CallerConnection
-{
-    TcpConnection connection_;
-    std::string remoteAddress_;
-    /** Time of the last response, or of the first byte of an incomplete request head. */
-    absl::Time waitingSince_;
-    bool headBegun_ = false;
-    /** Arrival of the request that is being read. */
-    std::optional<RequestArrival> arrival_ = std::nullopt;
-    /** Bytes of empty lines that precede the next head; they count toward the size of the head. */
-    std::size_t emptyLineBytes_ = 0;
-    std::size_t listener_ = 0;
-    /** The last response has been written; input is discarded until the caller closes the connection. */
-    bool lingering_ = false;
-    std::size_t discardedBytes_ = 0;
-};
 
 /** What to do with a connection next. */
 enum class ConnectionStep {
@@ -101,80 +76,6 @@
     Close,
 };
 
-auto formatResponse(HttpResponse source, const std::string &method, bool close) -> std::string
-{
-    auto response = HttpResponse { source.status_, {}, "" };
-    auto hasLength = false;
-    const auto bodyless = source.status_ == noContentStatus || source.status_ == notModifiedStatus;
-    const auto isHead = method == "HEAD";
-    for (auto &header : source.headers_) {
-        const auto isLength = equalIgnoringCase(header.name_, "content-length");
-        if (isLength && !isHead && source.status_ != notModifiedStatus) {
-            continue;
-        }
-        hasLength = hasLength || isLength;
-        response.headers_.push_back(std::move(header));
-    }
-    // The response to a HEAD request describes a body that isn't sent, so Content-Length is set only if it is known.
-    if (!hasLength && !bodyless && !(isHead && source.body_.empty())) {
-        response.headers_.push_back({ "Content-Length", std::to_string(source.body_.size()) });
-    }
-    if (close) {
-        response.headers_.push_back({ "Connection", "close" });
-    }
-    if (!bodyless && !isHead) {
-        response.body_ = std::move(source.body_);
-    }
-    return serializeResponse(response);
-}
-
-auto toHttpResponse(const httplib::Response &response) -> HttpResponse
-{
-    auto httpResponse = HttpResponse { response.status, {}, response.body };
-    for (const auto &[name, value] : response.headers) {
-        httpResponse.headers_.push_back({ name, value });
-    }
-    return httpResponse;
-}
-
-auto requestOf(const RequestContent &content, const std::string &remoteAddress) -> httplib::Request
-{
-    auto request = httplib::Request {};
-    request.method = content.method_;
-    request.target = content.target_;
-    request.path = percentDecoded(pathOfTarget(content.target_));
-    request.remote_addr = remoteAddress;
-    for (const auto &header : content.headers_) {
-        request.headers.emplace(header.name_, header.value_);
-    }
-    return request;
-}
-
-// Arrival of the request whose first bytes are buffered. The newest bytes arrived last, so they show at most the time for which the request has waited.
-auto arrivalOf(CallerConnection &connection) -> RequestArrival
-{
-    if (!connection.arrival_) {
-        connection.arrival_ = RequestArrival { monotonicNow(), timeSinceArrival(connection.connection_.socket()) };
-    }
-    return *connection.arrival_;
-}
-
-auto addressText(const sockaddr_storage &address) -> std::string
-{
-    auto buffer = std::array<char, INET6_ADDRSTRLEN> {};
-    const auto *ip = address.ss_family == AF_INET6 ? static_cast<const void *>(&reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_addr)
-                                                   : static_cast<const void *>(&reinterpret_cast<const sockaddr_in *>(&address)->sin_addr);
-    inet_ntop(address.ss_family, ip, buffer.data(), buffer.size());
-    return buffer.data();
-}
-
-auto portOf(const sockaddr_storage &address) -> int
-{
-    const auto port =
-        address.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6 *>(&address)->sin6_port : reinterpret_cast<const sockaddr_in *>(&address)->sin_port;
-    return ntohs(port);
-}
-
 }
 
 struct CallerServer::State
