Match the replies of datagrams with their requests in one place

PendingReplies takes over the numbers, the wait and the rule that a late or repeated reply belongs to no request; PermitExchange keeps what is its own. No behaviour changes; permitexchangetest passes as it is.

--- a/libraries/process/permitexchange.cpp
+++ b/libraries/process/permitexchange.cpp
@@ -81,17 +81,10 @@
     auto request = fleet::PermitRequest {};
     request.zone = query.zone_;
     request.limit = toMessage(now, query.known_);
-    const auto pending = std::make_shared<PendingRequest>();
-    {
-        const auto lock = absl::MutexLock(&mutex_);
-        request.number = nextNumber_++;
-        pending_[request.number] = pending;
-    }
+    const auto ticket = pending_.begin();
+    request.number = ticket.number_;
     services_.send_(issuer->address_, request);
-    const auto isAnswered = pending->isAnswered_.WaitForNotificationWithTimeout(deadline - now);
-    const auto lock = absl::MutexLock(&mutex_);
-    pending_.erase(request.number);
-    return isAnswered ? std::optional(pending->answer_) : std::nullopt;
+    return pending_.await(ticket, deadline - now);
 }
 
 auto PermitExchange::answer(absl::Time now, const fleet::PermitRequest &request) -> fleet::PermitReply
@@ -116,15 +109,8 @@
     if (!isInRange(reply.limit)) {
         return;
     }
-    const auto lock = absl::MutexLock(&mutex_);
-    const auto found = pending_.find(reply.number);
-    // An answer that comes too late, or twice, belongs to no request.
-    if (found == pending_.end() || found->second->isAnswered_.HasBeenNotified()) {
-        return;
-    }
     const auto retryAfter = std::clamp(absl::Milliseconds(reply.retryMillis), absl::ZeroDuration(), maximumRetry);
-    found->second->answer_ = { { reply.granted, retryAfter }, fromMessage(now, reply.limit).statement_ };
-    found->second->isAnswered_.Notify();
+    pending_.receive(reply.number, { { reply.granted, retryAfter }, fromMessage(now, reply.limit).statement_ });
 }
 
 }
--- a/libraries/process/permitexchange.h
+++ b/libraries/process/permitexchange.h
@@ -2,17 +2,13 @@
 #pragma once
 
 #include "generated/fleet_types.h"
+#include "process/pendingreplies.h"
 #include "request/backendlimit.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 
@@ -71,19 +67,10 @@
     auto receive(absl::Time now, const fleet::PermitReply &reply) -> void;
 
 private:
-    /** A request that waits for its answer. */
-    struct PendingRequest
-    {
-        absl::Notification isAnswered_;
-        PermitAnswer answer_;
-    };
-
     auto issue(absl::Time now, const std::string &zone, const KnownLimit &known) -> PermitAnswer;
 
     const PermitExchangeServices services_;
-    absl::Mutex mutex_;
-    std::int64_t nextNumber_ ABSL_GUARDED_BY(mutex_) = 1;
-    absl::flat_hash_map<std::int64_t, std::shared_ptr<PendingRequest>> pending_ ABSL_GUARDED_BY(mutex_);
+    PendingReplies<PermitAnswer> pending_;
 };
 
 }
