Let a few hosts of each zone hold an organisation's quota, and ask them

Cause: each host admitted an even part of an organisation's quota.

Change: each zone has a part of the quota in proportion to its hosts, held by as few hosts as its size allows (16 requests a window each, in an order by host and organisation). A host admits within its own part without a message, and asks holders for each request beyond that: in its zone, then in its region, then elsewhere. Nothing is lent, so nothing that is lent can be lost; the holder counts a request when it admits it, which is between its sending and its arrival, so that the sum over the holders is what the users count. Where the holders at one distance have no room, the next distance is asked; after two requests for which nobody had room, the organisation's requests are refused at once for 250 ms to 4 s. An admission holds for one window and is looked at again just before the first byte.

A holder that begins to hold a part uses it after one window and a second if most other hosts have run for longer than it, since the earlier process, or the earlier holder, may have admitted requests; the others serve meanwhile. After a restart of all hosts it grows linearly, as before.

Ruled out: linear growth for hosts that join: in the model, 24 hosts that join 95 under 4.5 times the limit brought 1,185 requests into a window, 1,076 allowed, because a flooded holder admits its whole part at the start of each window.

--- a/libraries/fleet.thrift
+++ b/libraries/fleet.thrift
@@ -64,6 +64,20 @@
     4: LimitSighting limit;
 }
 
+/** Asks the host that holds a part of an organisation's quota to admit one request within it. */
+struct QuotaRequest {
+    /** Identifies the request at its sender. */
+    1: i64 number;
+    2: string organisation;
+}
+
+struct QuotaReply {
+    1: i64 number;
+    2: bool admitted;
+    /** Time until the holder may admit another request. */
+    3: i32 retryMillis;
+}
+
 /** The datagram that hosts send each other. */
 struct Gossip {
     1: HostIdentity sender;
@@ -77,6 +91,8 @@
     6: optional list<LimitSighting> limits;
     7: optional PermitRequest permitRequest;
     8: optional PermitReply permitReply;
+    9: optional QuotaRequest quotaRequest;
+    10: optional QuotaReply quotaReply;
 }
 
 struct Record {
--- a/libraries/process/backendsignalreport.cpp
+++ b/libraries/process/backendsignalreport.cpp
@@ -33,11 +33,6 @@
     logLine(wallNow(), LogLevel::Warning, "backend_limit", fields);
 }
 
-auto counter(std::string name, std::string help, std::map<std::string, std::string> labels, std::int64_t value) -> MetricValue
-{
-    return { std::move(name), std::move(help), MetricKind::Counter, std::move(labels), static_cast<double>(value) };
-}
-
 }
 
 auto logSignals(absl::Time now, const std::string &requestId, const FleetBackend &backend, const BackendSignals &signals, const MarkChange &change) -> void
@@ -93,19 +88,20 @@
     constexpr auto permits = "lycheecleat_permits_total";
     constexpr auto permitsHelp = "Permits that this host asked for, to send requests to backend servers with a limit";
     return {
-        counter(marks, marksHelp, { { "signal", "leaving" } }, counts.leavingMarks_),
-        counter(marks, marksHelp, { { "signal", "paused" } }, counts.pauseMarks_),
-        counter(marks, marksHelp, { { "signal", "limited" } }, counts.limits_),
-        counter("lycheecleat_backend_signals_ignored_total", "Headers of backend servers that were not used as received", {}, counts.ignoredHeaders_),
-        counter(kept, keptHelp, { { "signal", "leaving" } }, counts.keptFromLeaving_),
-        counter(kept, keptHelp, { { "signal", "paused" } }, counts.keptFromPaused_),
-        counter(kept, keptHelp, { { "signal", "limited" } }, counts.keptFromLimited_),
-        counter(permits, permitsHelp, { { "outcome", "granted" } }, counts.permitsGranted_),
-        counter(permits, permitsHelp, { { "outcome", "refused" } }, counts.permitsRefused_),
-        counter(permits, permitsHelp, { { "outcome", "unanswered" } }, counts.permitsUnanswered_),
-        counter("lycheecleat_permits_issued_total", "Permits that this host has issued to hosts, itself included", {}, counts.permitsIssued_),
-        counter("lycheecleat_requests_cancelled_total", "Requests not sent because their backend server was marked after the choice", {}, counts.cancelled_),
-        counter("lycheecleat_requests_despite_mark_total", "Requests sent to a backend server that was already marked", {}, counts.sentDespiteMark_),
+        counterValue(marks, marksHelp, { { "signal", "leaving" } }, counts.leavingMarks_),
+        counterValue(marks, marksHelp, { { "signal", "paused" } }, counts.pauseMarks_),
+        counterValue(marks, marksHelp, { { "signal", "limited" } }, counts.limits_),
+        counterValue("lycheecleat_backend_signals_ignored_total", "Headers of backend servers that were not used as received", {}, counts.ignoredHeaders_),
+        counterValue(kept, keptHelp, { { "signal", "leaving" } }, counts.keptFromLeaving_),
+        counterValue(kept, keptHelp, { { "signal", "paused" } }, counts.keptFromPaused_),
+        counterValue(kept, keptHelp, { { "signal", "limited" } }, counts.keptFromLimited_),
+        counterValue(permits, permitsHelp, { { "outcome", "granted" } }, counts.permitsGranted_),
+        counterValue(permits, permitsHelp, { { "outcome", "refused" } }, counts.permitsRefused_),
+        counterValue(permits, permitsHelp, { { "outcome", "unanswered" } }, counts.permitsUnanswered_),
+        counterValue("lycheecleat_permits_issued_total", "Permits that this host has issued to hosts, itself included", {}, counts.permitsIssued_),
+        counterValue(
+            "lycheecleat_requests_cancelled_total", "Requests not sent because their backend server was marked after the choice", {}, counts.cancelled_),
+        counterValue("lycheecleat_requests_despite_mark_total", "Requests sent to a backend server that was already marked", {}, counts.sentDespiteMark_),
     };
 }
 
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -6,6 +6,7 @@
 #include "generated/Fleet.h"
 #include "process/backendsignalreport.h"
 #include "process/hostregistration.h"
+#include "process/quotareport.h"
 
 #include <absl/time/clock.h>
 #include <fmt/format.h>
@@ -125,6 +126,12 @@
                                         [this](const std::string &address, const fleet::PermitRequest &request) {
                                             gossip_->sendPermitRequest(address, request);
                                         } })
+    , quotas_(QuotaExchangeServices { [this](absl::Time now, const std::string &organisation) {
+                                         return requestHandler_.admitForPeer(now, organisation);
+                                     },
+                                      [this](const std::string &address, const fleet::QuotaRequest &request) {
+                                          gossip_->sendQuotaRequest(address, request);
+                                      } })
     , requestHandler_(FleetRequestServices { settings_.name_,
                                              adapter_.protocol_,
                                              [this] {
@@ -143,6 +150,13 @@
                                              [this](const RequestObservation &observation) {
                                                  metrics_.observe(observation);
                                              },
+                                             [this](absl::Time now) {
+                                                 return gossip_->shareHosts(now);
+                                             },
+                                             [this](absl::Time now, const ShareHost &holder, const std::string &organisation, absl::Time deadline) {
+                                                 const auto answer = quotas_.ask(now, holder.address_, organisation, deadline);
+                                                 return HolderExchange { answer, monotonicNow() };
+                                             },
                                              [this](absl::Time now, const PermitQuery &query, absl::Time deadline) {
                                                  return permits_.ask(now, query, deadline);
                                              },
@@ -186,6 +200,12 @@
                                                             [this](absl::Time now, const fleet::PermitReply &reply) {
                                                                 permits_.receive(now, reply);
                                                             },
+                                                            [this](absl::Time now, const fleet::QuotaRequest &request) {
+                                                                return quotas_.answer(now, request);
+                                                            },
+                                                            [this](const fleet::QuotaReply &reply) {
+                                                                quotas_.receive(reply);
+                                                            },
                                                             [this](const NewerPeer &peer) {
                                                                 replicator_->notifyNewerPeer(peer);
                                                             } }))
@@ -341,6 +361,9 @@
     for (auto &value : signalMetrics(requestHandler_.signalCounts())) {
         values.push_back(std::move(value));
     }
+    for (auto &value : quotaMetrics(requestHandler_.quotaCounts())) {
+        values.push_back(std::move(value));
+    }
     for (const auto &[service, backends] : view->backends_) {
         values.push_back({ "lycheecleat_backends",
                            "Backend servers that take requests",
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -8,6 +8,7 @@
 #include "process/metrics.h"
 #include "process/peerserver.h"
 #include "process/permitexchange.h"
+#include "process/quotaexchange.h"
 #include "process/recordreplicator.h"
 #include "process/recordstore.h"
 #include "process/reloadablesettings.h"
@@ -110,6 +111,7 @@
     std::atomic<std::int64_t> endsAtMillis_ = 0;
     FleetState state_;
     PermitExchange permits_;
+    QuotaExchange quotas_;
     FleetRequestHandler requestHandler_;
     std::unique_ptr<RecordReplicator> replicator_;
     std::unique_ptr<HostGossip> gossip_;
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -6,8 +6,6 @@
 #include "process/fleetrequeststate.h"
 #include "process/retryafter.h"
 #include "request/backendranking.h"
-#include "request/destinationchoice.h"
-#include "request/requestpath.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
@@ -29,12 +27,6 @@
 /** Connection attempts that may fail before a request ends; nothing is sent in them. */
 constexpr auto maximumFailedConnections = 3;
 
-/** Fraction of the deployment's retry budget that is used. The rest is a margin for counts that differ between hosts and backend servers. */
-constexpr auto usedRetryFraction = 0.75;
-
-/** Number of hosts among which the extra part of the retry budget is split, whatever their actual number. */
-constexpr auto retryExtraHosts = 30.0;
-
 /** Shortest remaining time in which another attempt is made. */
 constexpr auto minimumAttemptTime = absl::Milliseconds(60);
 
@@ -52,9 +44,6 @@
 /** Number of responses of the largest size that may be read at once. */
 constexpr auto largestResponsesInMemory = std::size_t { 4 };
 
-/** Bytes of a caller's host or path that a log line holds. */
-constexpr auto maximumLoggedBytes = std::size_t { 128 };
-
 constexpr auto firstServerError = 500;
 constexpr auto misdirectedStatus = 421;
 
@@ -74,12 +63,6 @@
     return settings;
 }
 
-auto retryBudgetOf(const ReloadableSettings &settings) -> RetryBudget
-{
-    const auto maximumTokens = std::max(1.0, settings.retryBudgetExtra_ * usedRetryFraction / retryExtraHosts);
-    return { maximumTokens, settings.retryBudgetRatio_ * usedRetryFraction, maximumTokens };
-}
-
 auto millisecondsText(absl::Duration duration) -> std::string
 {
     return fmt::format("{:.1f}", absl::ToDoubleMilliseconds(duration));
@@ -98,25 +81,6 @@
     return report;
 }
 
-// Host and path of a request for the log, without the query. A path that holds the caller's key is left out.
-auto describeTarget(const RequestContent &content, const std::string &keyHeader) -> std::string
-{
-    const auto path = pathOfTarget(content.target_);
-    const auto key = headerValue(content.headers_, keyHeader);
-    const auto holdsKey = !key.empty() && percentDecoded(path).find(key) != std::string::npos;
-    return fmt::format(
-        "host {}, path {}", headerValue(content.headers_, "host").substr(0, maximumLoggedBytes), holdsKey ? "withheld" : path.substr(0, maximumLoggedBytes));
-}
-
-// The path is forwarded unchanged, so a path that a backend server resolves into another route would bypass that route's access rules.
-auto hasSameRouteInAllInterpretations(const PolicyIndex &policy, const std::string &host, std::string_view path) -> bool
-{
-    const auto alternatives = alternativePaths(path);
-    return std::all_of(alternatives.begin(), alternatives.end(), [&, route = policy.findRoute(host, path)](const std::string &alternative) {
-        return policy.findRoute(host, alternative) == route;
-    });
-}
-
 }
 
 // Identifies a request by its organisation and content. A request that is sent again has the same fingerprint, on every host.
@@ -206,97 +170,6 @@
     return explanation;
 }
 
-auto FleetRequestHandler::admitRequest(RequestState &state) -> std::optional<Refusal>
-{
-    if (!state.policy_) {
-        return Refusal::NoConfiguration;
-    }
-    if (services_.isStopping_()) {
-        return Refusal::Stopping;
-    }
-    const auto &content = state.received_.content_;
-    const auto path = pathOfTarget(content.target_);
-    if (!path.starts_with('/') || headerCount(content.headers_, "host") != 1) {
-        state.detail_ = "the target has no absolute path, or the number of Host headers is not 1";
-        return Refusal::MalformedRequest;
-    }
-    const auto host = headerValue(content.headers_, "host");
-    state.route_ = state.policy_->findRoute(host, path);
-    if (state.route_ == nullptr) {
-        state.detail_ = describeTarget(state.received_.content_, services_.protocol_.key_);
-        return Refusal::NoRoute;
-    }
-    if (!hasSameRouteInAllInterpretations(*state.policy_, host, path)) {
-        state.detail_ = "a backend server could interpret the path as one of another route, or of none";
-        return Refusal::MalformedRequest;
-    }
-    const auto authenticationRefusal = authenticate(state);
-    if (authenticationRefusal) {
-        return authenticationRefusal;
-    }
-    auto limit = state.route_->timeout_;
-    auto milliseconds = std::int64_t { 0 };
-    if (absl::SimpleAtoi(headerValue(content.headers_, services_.protocol_.timeoutMillis_), &milliseconds)) {
-        limit = std::min(limit, absl::Milliseconds(std::max<std::int64_t>(0, milliseconds)));
-    }
-    const auto endsAt = services_.endsAt_();
-    if (monotonicNow() + durations_.longestExpected(state.route_->name_) > endsAt) {
-        state.detail_ = "requests of the route take longer than this host still runs";
-        return Refusal::Stopping;
-    }
-    state.deadline_ = std::min(state.received_.receivedAt_ + limit, endsAt);
-    chooseTargetAndCountRequest(state);
-    {
-        const auto lock = absl::ReaderMutexLock(&mutex_);
-        if (!crashes_.isEmpty() && crashes_.isSuspect(monotonicNow(), fingerprintOf(state))) {
-            return Refusal::CrashSuspect;
-        }
-    }
-    const auto now = monotonicNow();
-    if (state.organisation_ != nullptr
-        && !quotas_.admitRequest(now, state.organisation_->limits_, services_.settings_().quota_, services_.shareHolders_(now))) {
-        return Refusal::RateExceeded;
-    }
-    return std::nullopt;
-}
-
-// Finds the organisation and removes the API key from what a backend server receives, on open routes as well.
-auto FleetRequestHandler::authenticate(RequestState &state) -> std::optional<Refusal>
-{
-    const auto &header = services_.protocol_.key_;
-    state.content_ = state.received_.content_;
-    const auto keys = headerCount(state.content_.headers_, header);
-    const auto key = headerValue(state.content_.headers_, header);
-    std::erase_if(state.content_.headers_, [&](const HeaderField &field) {
-        return equalIgnoringCase(field.name_, header);
-    });
-    if (state.route_->isOpen_ || state.policy_->policy().organisations_.empty()) {
-        return std::nullopt;
-    }
-    if (keys > 1) {
-        return Refusal::KeyAmbiguous;
-    }
-    if (keys == 0) {
-        return Refusal::KeyMissing;
-    }
-    state.organisation_ = state.policy_->findByKey(key);
-    return state.organisation_ == nullptr ? std::optional(Refusal::KeyUnknown) : std::nullopt;
-}
-
-auto FleetRequestHandler::chooseTargetAndCountRequest(RequestState &state) -> void
-{
-    chooseTarget(state, headerValue(state.content_.headers_, services_.protocol_.object_));
-    retries_.countRequest(state.service_, retryBudgetOf(services_.settings_()));
-}
-
-auto FleetRequestHandler::chooseTarget(RequestState &state, const std::string &object) -> void
-{
-    // Requests that name no object are spread by their identifier.
-    const auto &basis = object.empty() ? state.requestId_ : object;
-    state.service_ = chooseDestination(state.route_->destinations_, objectHash("", state.route_->name_, basis)).service_;
-    state.objectHash_ = objectHash(state.service_, state.route_->name_, basis);
-}
-
 // An organisation's priority takes precedence over the route's.
 auto FleetRequestHandler::priorityOf(const RequestState &state) -> int
 {
@@ -311,6 +184,12 @@
             state.refusal_ = state.mayHaveRun_ ? Refusal::DeadlineExceeded : Refusal::NoCapacity;
             break;
         }
+        if (hasExpiredAdmission(state, monotonicNow())) {
+            if (const auto refusal = admitByQuota(state)) {
+                state.refusal_ = *refusal;
+                break;
+            }
+        }
         if (!chooseBackend(state) && !awaitReturn(state)) {
             break;
         }
@@ -339,7 +218,8 @@
     call.expectedInstance_ = server.name_;
     call.requestId_ = state.requestId_;
     call.maySend_ = [&] {
-        return selector_.maySend(monotonicNow(), state.choice_);
+        const auto now = monotonicNow();
+        return selector_.maySend(now, state.choice_) && !hasExpiredAdmission(state, now);
     };
     return pool_.exchange(call, state.content_);
 }
@@ -511,6 +391,15 @@
     if (!state.detail_.empty()) {
         fields.push_back({ "detail", state.detail_ });
     }
+    if (state.admission_.own_.limit_ > 0 || state.admission_.asked_ > 0) {
+        const auto &admission = state.admission_;
+        fields.push_back({ "quota", fmt::format("{}/{}", admission.own_.used_, admission.own_.limit_) });
+        fields.push_back({ "quota_holder", admission.isAdmitted_ && admission.holder_.empty() ? "self" : admission.holder_ });
+    }
+    if (state.admission_.asked_ > 0) {
+        fields.push_back({ "quota_asked", fmt::format("{}", state.admission_.asked_) });
+        fields.push_back({ "quota_ms", millisecondsText(state.admission_.askTime_) });
+    }
     if (state.permitsAsked_ > 0) {
         fields.push_back({ "permits_asked", fmt::format("{}", state.permitsAsked_) });
         fields.push_back({ "permits_ms", millisecondsText(state.permitTime_) });
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -41,7 +41,7 @@
     /** The current settings, which a reload may replace. */
     std::function<ReloadableSettings()> settings_;
     FleetState *state_ = nullptr;
-    /** Hashes of the hosts among which quotas and rate limits are split at a monotonic time. */
+    /** Hashes of the hosts among which rate limits of cold servers are split at a monotonic time. */
     std::function<std::vector<std::uint64_t>(absl::Time)> shareHolders_;
     std::function<bool()> isStopping_;
     /** Monotonic time at which all waits for backend servers end because the process does; infinite while it is not to end. */
@@ -49,6 +49,12 @@
         return absl::InfiniteFuture();
     };
     std::function<void(const RequestObservation &)> observe_;
+    /** The hosts among which quotas are divided; the same pointer as long as they are the same. None if this host holds all of them. */
+    std::function<ShareHostsPointer(absl::Time)> shareHosts_ = [](absl::Time) {
+        return ShareHostsPointer {};
+    };
+    /** Asks a holder of a quota to admit a request. Blocks. */
+    AskHolderFunction askHolder_ = nullptr;
     /** Asks for a permit for a backend server with a limit; none without an answer by the deadline. Blocks. */
     std::function<std::optional<PermitAnswer>(absl::Time, const PermitQuery &, absl::Time deadline)> askForPermit_ = nullptr;
     /** Memory that the process may use, in bytes; 0 when it is not known. */
@@ -87,6 +93,12 @@
     /** Issues a permit for a backend server with a limit to a host that knows the given limit. */
     [[nodiscard]] auto issuePermit(absl::Time now, const KnownLimit &known) -> PermitAnswer;
 
+    /** Admits a request of an organisation for another host, within this host's part of its quota. */
+    [[nodiscard]] auto admitForPeer(absl::Time now, const std::string &organisation) -> QuotaAnswer;
+
+    /** Counts of admissions between hosts. */
+    [[nodiscard]] auto quotaCounts() const -> QuotaCounts;
+
     /** Number of requests being handled. */
     [[nodiscard]] auto inFlight() const -> int;
 
@@ -98,6 +110,9 @@
 
     auto admitRequest(RequestState &state) -> std::optional<Refusal>;
     auto authenticate(RequestState &state) -> std::optional<Refusal>;
+    auto admitByQuota(RequestState &state) -> std::optional<Refusal>;
+    /** Whether a request that may not have run yet has waited for so long since its admission that it needs another one. */
+    [[nodiscard]] auto hasExpiredAdmission(const RequestState &state, absl::Time now) const -> bool;
     auto chooseTargetAndCountRequest(RequestState &state) -> void;
     /** Sets the service, and the hash by which its backend servers are ranked for the object. */
     static auto chooseTarget(RequestState &state, const std::string &object) -> void;
--- a/libraries/process/fleetrequesthandlertest.cpp
+++ b/libraries/process/fleetrequesthandlertest.cpp
@@ -84,6 +84,9 @@
     return reply(request, 500);
 }
 
+/** Window over which quotas are counted. */
+constexpr auto quotaWindow = absl::Milliseconds(20);
+
 /** A handler with two backend servers in two zones. Most requests go to the first: it has 1000 slots in this host's region, the second 1 slot in another. */
 class HandlerFixture
 {
@@ -148,7 +151,7 @@
             };
             services.settings_ = [] {
                 auto settings = ReloadableSettings {};
-                settings.quota_.window_ = absl::Milliseconds(1);
+                settings.quota_.window_ = quotaWindow;
                 return settings;
             };
             handler_ = std::make_unique<FleetRequestHandler>(services);
@@ -160,8 +163,8 @@
         if (!key.empty()) {
             content.headers_.push_back({ "X-Api-Key", key });
         }
-        // After the start of the process, quotas grow from zero over one window, which is 1 ms here.
-        absl::SleepFor(absl::Milliseconds(2));
+        // After the start of the process, quotas grow from zero over one window.
+        absl::SleepFor(quotaWindow);
         return handler_->handle({ content, monotonicNow(), -1, 0 }).httpResponse_;
     }
 
--- a/libraries/process/fleetrequeststate.h
+++ b/libraries/process/fleetrequeststate.h
@@ -25,6 +25,7 @@
     /** The request without the caller's API key. */
     RequestContent content_ = {};
     absl::Time deadline_ = absl::InfiniteFuture();
+    QuotaAdmission admission_ = {};
     std::string service_ = {};
     std::uint64_t objectHash_ = 0;
     BackendChoice choice_ = {};
--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -36,6 +36,9 @@
 /** How many of these are in other zones of the region; traffic between zones is charged for. */
 constexpr auto announceOtherZoneFanout = std::size_t { 1 };
 
+/** Time after which the hosts that hold shares are collected again; a heartbeat may have changed them. */
+constexpr auto shareHostsLifetime = tickInterval;
+
 auto zonesOfRegion(const ZoneRegions &zones, const std::string &zone) -> std::vector<std::string>
 {
     auto found = std::vector<std::string> {};
@@ -112,12 +115,12 @@
 }
 
 // Decodes registrations only if the records have changed, since this also runs for each request.
-auto HostGossip::refreshRegistrations(absl::Time now) const -> void
+auto HostGossip::refreshRegistrations(absl::Time now) const -> bool
 {
     mutex_.AssertHeld();
     const auto asOf = services_.state_->asOf();
     if (asOf == registrationsAsOf_) {
-        return;
+        return false;
     }
     registrationsAsOf_ = asOf;
     auto registered = std::vector<fleet::HostIdentity> {};
@@ -132,6 +135,7 @@
         }
     }
     table_.applyRegistrations(now, registered);
+    return true;
 }
 
 auto HostGossip::tick(absl::Time now) -> void
@@ -185,10 +189,7 @@
 
 auto HostGossip::buildGossip(absl::Time now, Scope scope) -> fleet::Gossip
 {
-    auto gossip = fleet::Gossip {};
-    const auto asOf = services_.state_->asOf();
-    gossip.recordsAsOf = asOf.revision_;
-    gossip.__set_recordsEra(asOf.era_);
+    auto gossip = buildBareGossip();
     for (const auto &record : services_.crashRecords_(now)) {
         gossip.crashes.push_back(crashMessage(now, record));
     }
@@ -199,14 +200,24 @@
     if (!limits.empty()) {
         gossip.__set_limits(limits);
     }
-    const auto lock = absl::MutexLock(&mutex_);
-    gossip.sender = *table_.self().identity_;
     if (scope != Scope::None) {
+        const auto lock = absl::MutexLock(&mutex_);
         gossip.heartbeats = table_.heartbeats(now, scope == Scope::Region ? regionZones_ : std::vector<std::string> {});
     }
     return gossip;
 }
 
+auto HostGossip::buildBareGossip() -> fleet::Gossip
+{
+    auto gossip = fleet::Gossip {};
+    const auto asOf = services_.state_->asOf();
+    gossip.recordsAsOf = asOf.revision_;
+    gossip.__set_recordsEra(asOf.era_);
+    const auto lock = absl::MutexLock(&mutex_);
+    gossip.sender = *table_.self().identity_;
+    return gossip;
+}
+
 auto HostGossip::sendPermitRequest(const std::string &address, const fleet::PermitRequest &request) -> void
 {
     auto gossip = buildGossip(monotonicNow(), Scope::None);
@@ -214,6 +225,13 @@
     send(address, encodeGossip(gossip));
 }
 
+auto HostGossip::sendQuotaRequest(const std::string &address, const fleet::QuotaRequest &request) -> void
+{
+    auto gossip = buildBareGossip();
+    gossip.__set_quotaRequest(request);
+    send(address, encodeGossip(gossip));
+}
+
 auto HostGossip::permitIssuer(absl::Time now, const std::string &zone, const std::string &backend) const -> std::optional<PermitIssuer>
 {
     const auto backendHash = stableHash(backend);
@@ -267,14 +285,8 @@
         services_.addCrashRecord_(now, { sighting.fingerprint, sighting.backends, now - age });
     }
     applyLimits(now, *gossip);
-    if (gossip->__isset.permitRequest) {
-        auto reply = buildGossip(now, Scope::None);
-        reply.__set_permitReply(services_.answerPermit_(now, gossip->permitRequest));
-        send(gossip->sender.gossipAddress, encodeGossip(reply));
-    }
-    if (gossip->__isset.permitReply) {
-        services_.receivePermit_(now, gossip->permitReply);
-    }
+    answerRequests(now, *gossip);
+    receiveReplies(now, *gossip);
     const auto asOf = services_.state_->asOf();
     const auto senderAsOf = recordsPosition(*gossip);
     if (senderAsOf > asOf) {
@@ -286,6 +298,30 @@
     }
 }
 
+auto HostGossip::answerRequests(absl::Time now, const fleet::Gossip &gossip) -> void
+{
+    if (gossip.__isset.permitRequest) {
+        auto reply = buildGossip(now, Scope::None);
+        reply.__set_permitReply(services_.answerPermit_(now, gossip.permitRequest));
+        send(gossip.sender.gossipAddress, encodeGossip(reply));
+    }
+    if (gossip.__isset.quotaRequest) {
+        auto reply = buildBareGossip();
+        reply.__set_quotaReply(services_.answerQuota_(now, gossip.quotaRequest));
+        send(gossip.sender.gossipAddress, encodeGossip(reply));
+    }
+}
+
+auto HostGossip::receiveReplies(absl::Time now, const fleet::Gossip &gossip) -> void
+{
+    if (gossip.__isset.permitReply) {
+        services_.receivePermit_(now, gossip.permitReply);
+    }
+    if (gossip.__isset.quotaReply) {
+        services_.receiveQuota_(gossip.quotaReply);
+    }
+}
+
 auto HostGossip::applyLimits(absl::Time now, const fleet::Gossip &gossip) -> void
 {
     for (const auto &sighting : gossip.limits) {
@@ -375,4 +411,18 @@
     return table_.shareHolders(now);
 }
 
+auto HostGossip::shareHosts(absl::Time now) const -> ShareHostsPointer
+{
+    const auto lock = absl::MutexLock(&mutex_);
+    const auto isChanged = refreshRegistrations(now);
+    if (!shareHosts_ || isChanged || now - shareHostsCheckedAt_ >= shareHostsLifetime) {
+        auto hosts = table_.shareHosts(now, services_.zones_);
+        if (!shareHosts_ || *shareHosts_ != hosts) {
+            shareHosts_ = std::make_shared<const ShareHosts>(std::move(hosts));
+        }
+        shareHostsCheckedAt_ = now;
+    }
+    return shareHosts_;
+}
+
 }
--- a/libraries/process/hostgossip.h
+++ b/libraries/process/hostgossip.h
@@ -1,4 +1,4 @@
-/** Gossips heartbeats with other hosts over UDP, detects peers whose records are newer, and carries requests for permits. */
+/** Gossips heartbeats with other hosts over UDP, detects peers whose records are newer, and carries requests for permits and for admission. */
 #pragma once
 
 #include "connection/datagramsocket.h"
@@ -6,6 +6,7 @@
 #include "process/fleetstate.h"
 #include "process/hosttable.h"
 #include "process/permitexchange.h"
+#include "process/quotaexchange.h"
 #include "request/crashsuspecttable.h"
 
 #include <absl/base/thread_annotations.h>
@@ -52,6 +53,10 @@
     std::function<fleet::PermitReply(absl::Time, const fleet::PermitRequest &)> answerPermit_;
     /** Called with a peer's answer to a request for a permit. */
     std::function<void(absl::Time, const fleet::PermitReply &)> receivePermit_;
+    /** Answers a peer's request for admission within a quota. */
+    std::function<fleet::QuotaReply(absl::Time, const fleet::QuotaRequest &)> answerQuota_;
+    /** Called with a peer's answer to a request for admission. */
+    std::function<void(const fleet::QuotaReply &)> receiveQuota_;
     /** Called when a peer reports records newer than those of this host. */
     std::function<void(const NewerPeer &)> onNewerPeer_;
 };
@@ -81,6 +86,9 @@
     /** Sends a request for a permit to the gossip address of another host. */
     auto sendPermitRequest(const std::string &address, const fleet::PermitRequest &request) -> void;
 
+    /** Sends a request for admission within a quota to the gossip address of another host. */
+    auto sendQuotaRequest(const std::string &address, const fleet::QuotaRequest &request) -> void;
+
     /** The host that issues permits for a backend server: one of the server's zone, of its region if there is none, or else any. */
     [[nodiscard]] auto permitIssuer(absl::Time now, const std::string &zone, const std::string &backend) const -> std::optional<PermitIssuer>;
 
@@ -95,13 +103,18 @@
 
     /** Hosts that lookup responses may contain, including this one if it is ready. */
     [[nodiscard]] auto readyHosts(absl::Time now) const -> std::vector<KnownHost>;
-    /** Hashes of the hosts among which quotas are divided; see HostTable::shareHolders(). */
+    /** Hashes of the hosts among which cold allowances are divided; see HostTable::shareHolders(). */
     [[nodiscard]] auto shareHolders(absl::Time now) const -> std::vector<std::uint64_t>;
+    /** The hosts among which quotas are divided. The same pointer is returned until one of them changes. */
+    [[nodiscard]] auto shareHosts(absl::Time now) const -> ShareHostsPointer;
 
 private:
     auto run() -> void;
     auto tick(absl::Time now) -> void;
-    auto refreshRegistrations(absl::Time now) const -> void;
+    /** Returns whether the registrations have changed. */
+    auto refreshRegistrations(absl::Time now) const -> bool;
+    auto answerRequests(absl::Time now, const fleet::Gossip &gossip) -> void;
+    auto receiveReplies(absl::Time now, const fleet::Gossip &gossip) -> void;
     auto applyGossip(absl::Time now, const std::string &data) -> void;
     auto applyLimits(absl::Time now, const fleet::Gossip &gossip) -> void;
     /** Which heartbeats a datagram contains. */
@@ -122,6 +135,8 @@
     auto chooseTargets(absl::Time now) -> std::vector<Target>;
     auto announceHeartbeats(absl::Time now, Scope scope) -> void;
     auto buildGossip(absl::Time now, Scope scope) -> fleet::Gossip;
+    /** A message with nothing but the sender and the position of its records. */
+    auto buildBareGossip() -> fleet::Gossip;
     auto buildDatagram(absl::Time now, Scope scope) -> std::string;
     auto send(const std::string &address, const std::string &data) -> void;
     auto isInRegion(const KnownHost &host) const -> bool;
@@ -133,6 +148,8 @@
     mutable HostTable table_ ABSL_GUARDED_BY(mutex_);
     /** Position of the records from which the registrations in the table were last read; absent before the first time. */
     mutable std::optional<StorePosition> registrationsAsOf_ ABSL_GUARDED_BY(mutex_);
+    mutable ShareHostsPointer shareHosts_ ABSL_GUARDED_BY(mutex_);
+    mutable absl::Time shareHostsCheckedAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
     std::mt19937_64 random_ ABSL_GUARDED_BY(mutex_);
     std::int64_t ticks_ ABSL_GUARDED_BY(mutex_) = 0;
     std::optional<DatagramSocket> socket_;
--- a/libraries/process/hosttable.cpp
+++ b/libraries/process/hosttable.cpp
@@ -23,6 +23,9 @@
 /** How long an unresponsive host keeps its quota shares: it may be partitioned from this host and still serve callers. */
 constexpr auto shareRetention = absl::Seconds(60);
 
+/** A host that started earlier than this one by this has run for longer than any window over which admissions are counted. */
+constexpr auto establishedLead = absl::Seconds(10);
+
 /** Hosts that watch the store for a region. The others receive changes from them, so that store calls do not grow with the number of hosts. */
 constexpr auto storeWatchersPerRegion = 3;
 
@@ -194,13 +197,41 @@
 {
     auto hashes = std::vector<std::uint64_t> {};
     for (const auto &[hash, host] : hosts_) {
-        if (hash == selfHash_ || now - std::max(host.lastHeartbeatAt_, host.registeredAt_) < shareRetention) {
+        if (holdsShare(now, hash, host)) {
             hashes.push_back(static_cast<std::uint64_t>(static_cast<std::uint32_t>(hash)));
         }
     }
     return hashes;
 }
 
+auto HostTable::holdsShare(absl::Time now, std::int32_t hash, const KnownHost &host) const -> bool
+{
+    return hash == selfHash_ || now - std::max(host.lastHeartbeatAt_, host.registeredAt_) < shareRetention;
+}
+
+auto HostTable::shareHosts(absl::Time now, const ZoneRegions &zones) const -> ShareHosts
+{
+    auto shareHosts = ShareHosts {};
+    for (const auto &[hash, host] : hosts_) {
+        if (!holdsShare(now, hash, host)) {
+            continue;
+        }
+        auto shareHost = ShareHost { static_cast<std::uint64_t>(static_cast<std::uint32_t>(hash)) };
+        if (host.identity_) {
+            const auto region = zones.find(host.identity_->zone);
+            shareHost.zone_ = host.identity_->zone;
+            shareHost.region_ = region == zones.end() ? std::string {} : region->second;
+            shareHost.address_ = host.identity_->gossipAddress;
+        }
+        // A host that has just started has heard of no other one yet.
+        shareHost.mayRespond_ = isAlive(host, now) || host.lastHeartbeatAt_ == absl::InfinitePast();
+        const auto incarnation = host.identity_ ? std::max(host.incarnation_, host.identity_->incarnation) : host.incarnation_;
+        shareHost.isEstablished_ = absl::Milliseconds(self().incarnation_ - incarnation) > establishedLead;
+        shareHosts.push_back(std::move(shareHost));
+    }
+    return shareHosts;
+}
+
 auto HostTable::permitIssuer(absl::Time now, const std::vector<std::string> &zones, std::uint64_t backendHash) const -> std::optional<fleet::HostIdentity>
 {
     const auto rank = [&](std::int32_t hash) {
--- a/libraries/process/hosttable.h
+++ b/libraries/process/hosttable.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "generated/fleet_types.h"
+#include "request/quotapartition.h"
+#include "version/fleetview.h"
 #include "version/storeposition.h"
 
 #include <absl/time/time.h>
@@ -85,6 +87,9 @@
      */
     [[nodiscard]] auto shareHolders(absl::Time now) const -> std::vector<std::uint64_t>;
 
+    /** The same hosts with their places and addresses, for limits that few of them hold. */
+    [[nodiscard]] auto shareHosts(absl::Time now, const ZoneRegions &zones) const -> ShareHosts;
+
     /**
      * The host that issues permits for a backend server: the first ready one in the server's order among the live hosts of the given zones, or this one if it
      * is ready there. None if there is no such host.
@@ -98,6 +103,7 @@
     [[nodiscard]] auto self() const -> const KnownHost &;
 
 private:
+    [[nodiscard]] auto holdsShare(absl::Time now, std::int32_t hash, const KnownHost &host) const -> bool;
     auto applyHeartbeat(absl::Time now, const fleet::Heartbeat &heartbeat) -> void;
     auto logLiveness(absl::Time now) -> void;
 
--- a/libraries/process/metrics.cpp
+++ b/libraries/process/metrics.cpp
@@ -76,6 +76,11 @@
 
 }
 
+auto counterValue(std::string name, std::string help, std::map<std::string, std::string> labels, std::int64_t value) -> MetricValue
+{
+    return { std::move(name), std::move(help), MetricKind::Counter, std::move(labels), static_cast<double>(value) };
+}
+
 Metrics::Metrics()
     : duration_(makeDuration(registry_))
     , unreadTime_(makeUnreadTime(registry_))
--- a/libraries/process/metrics.h
+++ b/libraries/process/metrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -31,6 +32,9 @@
     double value_ = 0;
 };
 
+/** A value that only increases. */
+[[nodiscard]] auto counterValue(std::string name, std::string help, std::map<std::string, std::string> labels, std::int64_t value) -> MetricValue;
+
 /** Counts and times requests, and writes all metrics of the process. Thread-safe. */
 class Metrics
 {
--- a/libraries/version/policyindex.cpp
+++ b/libraries/version/policyindex.cpp
@@ -20,8 +20,9 @@
         });
     }
     for (const auto &organisation : policy_.organisations_) {
+        organisations_[organisation.limits_.name_] = &organisation;
         for (const auto &key : organisation.keys_) {
-            organisations_[key] = &organisation;
+            organisationsByKey_[key] = &organisation;
         }
     }
     for (const auto &service : policy_.services_) {
@@ -51,7 +52,13 @@
 
 auto PolicyIndex::findByKey(const std::string &key) const -> const PolicyOrganisation *
 {
-    const auto found = organisations_.find(key);
+    const auto found = organisationsByKey_.find(key);
+    return found == organisationsByKey_.end() ? nullptr : found->second;
+}
+
+auto PolicyIndex::findOrganisation(const std::string &name) const -> const PolicyOrganisation *
+{
+    const auto found = organisations_.find(name);
     return found == organisations_.end() ? nullptr : found->second;
 }
 
--- a/libraries/version/policyindex.h
+++ b/libraries/version/policyindex.h
@@ -30,6 +30,9 @@
     /** The organisation that lists a key; null if there is none. */
     [[nodiscard]] auto findByKey(const std::string &key) const -> const PolicyOrganisation *;
 
+    /** The organisation with a name; null if there is none. */
+    [[nodiscard]] auto findOrganisation(const std::string &name) const -> const PolicyOrganisation *;
+
     /** The service with a name; null if there is none. */
     [[nodiscard]] auto findService(const std::string &name) const -> const PolicyService *;
 
@@ -37,6 +40,7 @@
     TrafficPolicy policy_;
     /** Routes of a host, longest prefix first. */
     absl::flat_hash_map<std::string, std::vector<const PolicyRoute *>> routes_;
+    absl::flat_hash_map<std::string, const PolicyOrganisation *> organisationsByKey_;
     absl::flat_hash_map<std::string, const PolicyOrganisation *> organisations_;
     absl::flat_hash_map<std::string, const PolicyService *> services_;
 };
