Test that a request which waited for longer than a window needs another admission

The check just before the first byte came with the holders of quotas without a test of its own. The test rejects a request after more than a window: it is sent to the second server only if the holder admits it again, and refused as not run otherwise.

--- a/libraries/process/twobackendfixture.h
+++ b/libraries/process/twobackendfixture.h
@@ -43,16 +43,32 @@
     return request.indexOnServer_ == 0 ? reply(request, unavailableStatus, "X-Not-Executed: 1\r\nRetry-After: " + retryAfter + "\r\n") : ok(request);
 }
 
+/** Name and key of the organisation that a fixture with a quota has. */
+inline constexpr auto quotaOrganisation = "org";
+inline constexpr auto quotaKey = "key-of-org";
+
+/** A quota that another host holds. */
+struct FixtureQuota
+{
+    absl::Duration window_ = absl::Seconds(5);
+    /** Asks the holder; if empty, requests need no admission. */
+    AskHolderFunction ask_ = nullptr;
+};
+
 /** A request handler with two backend servers; nearly all objects are ranked to the first, which has 1000 slots. */
 class TwoBackendFixture
 {
 public:
-    TwoBackendFixture(ScriptedServer::Script first, ScriptedServer::Script second, Repeatability repeatability = Repeatability::Repeatable)
+    TwoBackendFixture(ScriptedServer::Script first,
+                      ScriptedServer::Script second,
+                      Repeatability repeatability = Repeatability::Repeatable,
+                      const FixtureQuota &quota = {})
     {
         servers_.push_back(std::make_unique<ScriptedServer>(testIp(9, 4), std::move(first)));
         servers_.push_back(std::make_unique<ScriptedServer>(testIp(9, 4), std::move(second)));
         auto decoders = RecordDecoders {};
-        decoders.policy_ = [repeatability](const std::string &) -> Result<TrafficPolicy> {
+        const auto hasQuota = quota.ask_ != nullptr;
+        decoders.policy_ = [repeatability, hasQuota](const std::string &) -> Result<TrafficPolicy> {
             auto route = PolicyRoute {};
             route.name_ = "r";
             route.host_ = "h.example";
@@ -64,6 +80,9 @@
             auto policy = TrafficPolicy {};
             policy.version_ = 1;
             policy.routes_.push_back(route);
+            if (hasQuota) {
+                policy.organisations_ = { { { quotaOrganisation, 10, 10, 1 }, { quotaKey }, {}, {} } };
+            }
             return policy;
         };
         decoders.backend_ = [this](const std::string &name, const std::string &incarnation) -> Result<DiscoveredBackend> {
@@ -91,11 +110,18 @@
         services.isStopping_ = [] {
             return false;
         };
-        services.settings_ = [] {
+        services.settings_ = [window = quota.window_] {
             auto settings = ReloadableSettings {};
             settings.retryBudgetExtra_ = 10000;
+            settings.quota_.window_ = window;
             return settings;
         };
+        services.askHolder_ = quota.ask_;
+        if (hasQuota) {
+            services.shareHosts_ = [hosts = std::make_shared<const ShareHosts>(ShareHosts { { 1, "zone-b", "west", "holder", true } })](absl::Time) {
+                return hosts;
+            };
+        }
         services.askForPermit_ = [this](absl::Time, const PermitQuery &query, absl::Time) -> std::optional<PermitAnswer> {
             permitsAsked_ += 1;
             if (isIssuerSilent_) {
@@ -116,7 +142,8 @@
     /** Handles a request of a caller with the given socket. */
     auto send(const std::string &id, int callerSocket = -1) -> HttpResponse
     {
-        const auto content = RequestContent { "GET", "/x", { { "Host", "h.example" }, { "X-Request-Id", id }, { "X-Object", "o" } }, "" };
+        const auto content =
+            RequestContent { "GET", "/x", { { "Host", "h.example" }, { "X-Request-Id", id }, { "X-Object", "o" }, { "X-Api-Key", quotaKey } }, "" };
         return handler_->handle({ content, monotonicNow(), callerSocket, 0 }).httpResponse_;
     }
 
