Let a test's caller leave when its request is being written, not after 100 ms

Traced by reading: the caller left 100 ms after the start, and under load not a byte of the 32 MB request had been written by then; CallerLeft is right for that. The caller now leaves when the listener has received the first byte, so the case is always the one that the test is about; status and time are checked as before.

--- a/libraries/connection/backendpoolsignalstest.cpp
+++ b/libraries/connection/backendpoolsignalstest.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/time/clock.h>
 #include <doctest/doctest.h>
+#include <poll.h>
 
 #include <array>
 #include <string>
@@ -59,6 +60,19 @@
         return address_;
     }
 
+    /** Accepts the queued connections and one more, waits until that has received a byte, and reads nothing. */
+    [[nodiscard]] auto awaitFirstByte() const -> std::vector<TcpConnection>
+    {
+        constexpr auto longestWaitMillis = 10'000;
+        auto accepted = std::vector<TcpConnection> {};
+        while (accepted.size() <= queued_.size()) {
+            accepted.emplace_back(::accept4(listener_.socket(), nullptr, nullptr, SOCK_CLOEXEC));
+        }
+        auto ready = pollfd { accepted.back().socket(), POLLIN, 0 };
+        ::poll(&ready, 1, longestWaitMillis);
+        return accepted;
+    }
+
 private:
     TcpConnection listener_;
     std::array<TcpConnection, 4> queued_ { TcpConnection(-1), TcpConnection(-1), TcpConnection(-1), TcpConnection(-1) };
@@ -138,18 +152,20 @@
 // Guards against sending the rest of a long request for a caller that has left.
 TEST_CASE("a repeatable request whose caller leaves while it is being written is abandoned at once")
 {
-    constexpr auto leavingAfter = absl::Milliseconds(100);
     constexpr auto timeout = absl::Seconds(3);
     constexpr auto bodyBytes = std::size_t { 32 } * 1024 * 1024;
-    // The system accepts the connection and a part of the body for it; nothing reads them.
+    // The system takes a part of the body; nothing reads it.
     const auto listener = UnresponsiveListener(testIp(9, 5), 8);
     auto pool = BackendPool();
     auto pair = makeConnectedPair(testIp(9, 6));
     auto call = BackendCall { listener.address(), monotonicNow() + timeout, true };
     call.callerSocket_ = pair.accepted_.socket();
     auto caller = std::thread([&] {
-        absl::SleepFor(leavingAfter);
-        const auto closed = std::move(pair.caller_);
+        const auto unread = listener.awaitFirstByte();
+        {
+            const auto closed = std::move(pair.caller_);
+        }
+        absl::SleepFor(timeout / 2);
     });
     auto request = plainRequest();
     request.body_ = std::string(bodyBytes, 'x');
