Count a host as established only when it has been heard

Cause: after a restart of all hosts, the store still holds the registrations of the earlier processes. A new process took them for hosts that have run for long, and admitted nothing within its parts of quotas until it had heard of the others' new processes (up to a second).

Change: a host that is known by its registration only is not established. hosttabletest has a case for it ("registered long before, not heard"); it was not run without the change.

--- a/libraries/process/hosttable.cpp
+++ b/libraries/process/hosttable.cpp
@@ -226,7 +226,9 @@
         // A host that has just started has heard of no other one yet.
         shareHost.mayRespond_ = isAlive(host, now) || host.lastHeartbeatAt_ == absl::InfinitePast();
         const auto incarnation = host.identity_ ? std::max(host.incarnation_, host.identity_->incarnation) : host.incarnation_;
-        shareHost.isEstablished_ = absl::Milliseconds(self().incarnation_ - incarnation) > establishedLead;
+        // A registration may be left from the earlier process of a host that has restarted as well.
+        const auto isHeard = host.lastHeartbeatAt_ != absl::InfinitePast();
+        shareHost.isEstablished_ = isHeard && absl::Milliseconds(self().incarnation_ - incarnation) > establishedLead;
         shareHosts.push_back(std::move(shareHost));
     }
     return shareHosts;
--- a/libraries/process/hosttabletest.cpp
+++ b/libraries/process/hosttabletest.cpp
@@ -97,6 +97,41 @@
     CHECK(table.shareHolders(start + absl::Minutes(5)).size() == 1);
 }
 
+// Guards against a fleet that admits nothing for a window after all hosts restarted, because each takes the registrations of earlier processes for hosts that
+// have run for long.
+TEST_CASE("a host counts as established when it is heard and has started long before")
+{
+    struct EstablishedCase
+    {
+        std::string title_;
+        std::int64_t incarnation_;
+        bool isHeard_;
+        bool isEstablished_;
+    };
+    constexpr auto ownIncarnation = std::int64_t { 100'000 };
+    const auto establishedCases = std::vector<EstablishedCase> {
+        { "started long before, heard", 50'000, true, true },
+        { "registered long before, not heard", 50'000, false, false },
+        { "started with this host", 99'000, true, false },
+        { "started after this host", 150'000, true, false },
+    };
+    for (const auto &establishedCase : establishedCases) {
+        CAPTURE(establishedCase.title_);
+        auto table = HostTable(identity("self", ownIncarnation));
+        auto other = HostTable(identity("other", establishedCase.incarnation_));
+        other.advanceHeartbeat(start, HostStage::Ready, true);
+        table.applyRegistrations(start, { identity("other", establishedCase.incarnation_) });
+        if (establishedCase.isHeard_) {
+            table.applyGossip(start, gossipOf(other, start));
+        }
+        const auto hosts = table.shareHosts(start, { { "zone-a", "east" } });
+        REQUIRE(hosts.size() == 2);
+        for (const auto &host : hosts) {
+            CHECK(host.isEstablished_ == (host.hash_ == static_cast<std::uint32_t>(hostHash("other")) && establishedCase.isEstablished_));
+        }
+    }
+}
+
 namespace
 {
 
