Take no news of records from messages about quotas

Cause: each datagram says up to which revision its sender has records, and a host that hears of a newer one fetches the records from the sender. Messages about quotas are far more frequent than heartbeats and go to other regions, so that hosts fetched their records there instead of in their own region, and answered each message of an older host with another datagram.

Change: a message about a quota is answered or taken, and nothing else. Heartbeats spread news as before.

Ruled out before: the questions themselves (a bound on them changed nothing).

hostgossiptest fails without the change (a fetch is started) and passes with it, three times.

--- a/libraries/process/hostgossip.cpp
+++ b/libraries/process/hostgossip.cpp
@@ -287,6 +287,10 @@
     applyLimits(now, *gossip);
     answerRequests(now, *gossip);
     receiveReplies(now, *gossip);
+    if (gossip->__isset.quotaRequest || gossip->__isset.quotaReply) {
+        // These are far more frequent than heartbeats, and would make hosts fetch records from other regions.
+        return;
+    }
     const auto asOf = services_.state_->asOf();
     const auto senderAsOf = recordsPosition(*gossip);
     if (senderAsOf > asOf) {
