--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -33,6 +33,8 @@
 constexpr auto listenBacklog = 1024;
 constexpr auto pollInterval = Milliseconds { 20 };
 constexpr auto connectTime = Milliseconds { 1000 };
+/** Receive window of a slow client in bytes. */
+constexpr auto slowClientWindow = 64 * 1024;
 constexpr auto storeIdleTime = Milliseconds { 60'000 };
 /** Time after which an upstream closes an idle connection, as in the sites. */
 constexpr auto serverIdleTime = Milliseconds { 10'000 };
@@ -67,11 +69,14 @@
     return static_cast<int>(std::max<std::int64_t>(0, remaining));
 }
 
-/** Connects within the time; -1 on failure. */
-auto connectTo(const std::string &address, Milliseconds time) -> int
+/** Connects within the time, with a receive window unless it is 0; -1 on failure. */
+auto connectTo(const std::string &address, Milliseconds time, int window = 0) -> int
 {
     const auto parsed = parseAddress(address);
     const auto socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (window > 0) {
+        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+    }
     auto isConnected = ::connect(socket, reinterpret_cast<const sockaddr *>(&parsed), sizeof(parsed)) == 0;
     if (!isConnected && errno == EINPROGRESS) {
         auto descriptor = pollfd { socket, POLLOUT, 0 };
@@ -128,7 +133,7 @@
 }
 
 /** Receives until the buffer holds this many bytes. */
-auto receiveUntil(int socket, std::string &buffer, std::size_t size, Clock::time_point deadline) -> ReadResult
+auto receiveUntil(int socket, std::string &buffer, std::size_t size, Clock::time_point deadline, Milliseconds pause) -> ReadResult
 {
     auto chunk = std::vector<char>(std::size_t { 64 } * 1024);
     while (buffer.size() < size) {
@@ -144,6 +149,7 @@
             return ReadResult::Closed;
         }
         buffer.append(chunk.data(), static_cast<std::size_t>(count));
+        std::this_thread::sleep_for(pause);
     }
     return ReadResult::Complete;
 }
@@ -213,6 +219,39 @@
     return Milliseconds { static_cast<std::int64_t>(std::stod(text) * (isMilliseconds ? 1 : 1000)) };
 }
 
+constexpr auto maximumDaemons = std::size_t { 8 };
+
+/** Longest time of a case in seconds. */
+constexpr auto caseLimit = 118U;
+
+/** The running daemons, for the signal handler; 0 where there is none. */
+auto daemons() -> std::array<std::atomic<pid_t>, maximumDaemons> &
+{
+    static auto pids = std::array<std::atomic<pid_t>, maximumDaemons> {};
+    return pids;
+}
+
+auto replaceDaemon(pid_t before, pid_t after) -> void
+{
+    for (auto &pid : daemons()) {
+        auto expected = before;
+        if (pid.compare_exchange_strong(expected, after)) {
+            return;
+        }
+    }
+}
+
+/** Ends the daemons with the case when it is ended from outside or takes too long. */
+auto endDaemons(int /*signal*/) -> void
+{
+    for (auto &pid : daemons()) {
+        if (pid > 0) {
+            ::kill(pid, SIGKILL);
+        }
+    }
+    _exit(couldNotRun);
+}
+
 /** A number that no other run on this machine has: its lock address is bound as long as the run lasts. */
 auto runNumber() -> int
 {
@@ -259,10 +298,10 @@
     return found == headers_.end() ? std::string {} : found->second;
 }
 
-auto readMessage(int socket, std::string &buffer, Message &message, Clock::time_point deadline) -> ReadResult
+auto readMessage(int socket, std::string &buffer, Message &message, Clock::time_point deadline, Milliseconds pause) -> ReadResult
 {
     while (buffer.find(headEnd) == std::string::npos) {
-        const auto result = receiveUntil(socket, buffer, buffer.size() + 1, deadline);
+        const auto result = receiveUntil(socket, buffer, buffer.size() + 1, deadline, pause);
         if (result != ReadResult::Complete) {
             return result;
         }
@@ -270,7 +309,7 @@
     const auto headSize = buffer.find(headEnd) + headEnd.size();
     message = parseHead(buffer.substr(0, headSize));
     const auto size = headSize + static_cast<std::size_t>(toNumber(message.header("content-length")));
-    const auto result = receiveUntil(socket, buffer, size, deadline);
+    const auto result = receiveUntil(socket, buffer, size, deadline, pause);
     if (result == ReadResult::Complete) {
         message.body_ = buffer.substr(headSize, size - headSize);
         buffer.erase(0, size);
@@ -674,6 +713,7 @@
     if (failure != 0) {
         throw std::runtime_error("cannot start the daemon");
     }
+    replaceDaemon(0, pid_);
 }
 
 auto Host::kill() -> void
@@ -681,6 +721,7 @@
     if (isRunning()) {
         ::kill(pid_, SIGKILL);
         waitpid(pid_, &status_, 0);
+        replaceDaemon(pid_, 0);
         pid_ = -1;
     }
 }
@@ -688,6 +729,7 @@
 auto Host::isRunning() -> bool
 {
     if (pid_ > 0 && waitpid(pid_, &status_, WNOHANG) == pid_) {
+        replaceDaemon(pid_, 0);
         pid_ = -1;
     }
     return pid_ > 0;
@@ -789,7 +831,7 @@
     auto call = Call { name_ + "-" + std::to_string(++number_) };
     call.wasKept_ = socket_ >= 0;
     if (socket_ < 0) {
-        socket_ = connectTo(address_, connectTime);
+        socket_ = connectTo(address_, connectTime, settings.readPause_ > Milliseconds { 0 } ? slowClientWindow : 0);
     }
     if (socket_ >= 0) {
         const auto head = settings.method_ + " " + settings.path_ + " HTTP/1.1\r\nHost: service.example\r\nX-Request-Id: " + call.id_
@@ -798,7 +840,7 @@
         auto response = Message {};
         auto result = ReadResult::Closed;
         if (writeAll(socket_, head + settings.body_)) {
-            result = readMessage(socket_, buffer_, response, sentAt + settings.time_);
+            result = readMessage(socket_, buffer_, response, sentAt + settings.time_, settings.readPause_);
         }
         call.end_ = result == ReadResult::Complete ? CallEnd::Answered : (result == ReadResult::Closed ? CallEnd::Closed : CallEnd::TimedOut);
         call.status_ = call.end_ == CallEnd::Answered ? std::stoi(response.second_) : 0;
@@ -876,6 +918,11 @@
 
 auto runCase(const std::function<int(Record &)> &body, const std::string &recordFile) -> int
 {
+    static_cast<void>(daemons());
+    for (const auto signal : { SIGTERM, SIGINT, SIGALRM }) {
+        std::signal(signal, endDaemons);
+    }
+    alarm(caseLimit);
     auto record = Record(recordFile);
     try {
         const auto code = body(record);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -69,8 +69,8 @@
     TimedOut,
 };
 
-/** Reads one message; bytes beyond it stay in the buffer. */
-auto readMessage(int socket, std::string &buffer, Message &message, Clock::time_point deadline) -> ReadResult;
+/** Reads one message; bytes beyond it stay in the buffer. A slow peer pauses after each piece of 64 KB. */
+auto readMessage(int socket, std::string &buffer, Message &message, Clock::time_point deadline, Milliseconds pause = Milliseconds { 0 }) -> ReadResult;
 
 /** Writes all bytes; false if the connection failed. */
 auto writeAll(int socket, const std::string &bytes) -> bool;
@@ -282,6 +282,8 @@
     std::string object_ = "1";
     std::string body_;
     Milliseconds time_ { 4000 };
+    /** Pause after each 64 KB of the answer, for a client with a slow link and a small window; none if it is 0. */
+    Milliseconds readPause_ { 0 };
 };
 
 /** A client with one connection, which it keeps while it can. */
