--- a/tests/platform/support/fleet.cpp
+++ b/tests/platform/support/fleet.cpp
@@ -175,7 +175,7 @@
             { "control", fmt::format("{}:{}", ip, peerPort) } } },
         { "port_range", { firstFreePort, lastFreePort } },
         { "seeds", seeds },
-        { "limits", { { "memory_mb", settings_.memoryMegabytes_ } } },
+        { "limits", { { "memory_mb", settings_.memoryMegabytes_ }, { "max_fds", settings_.maximumDescriptors_ } } },
         { "bounds",
           { { "quota_window", "5s" },
             { "quota_overage", 0.1 },
--- a/tests/platform/support/fleet.h
+++ b/tests/platform/support/fleet.h
@@ -30,6 +30,8 @@
     bool usesFaultProxy_ = false;
     /** Memory limit in the settings of each host; the smallest of the sites. */
     int memoryMegabytes_ = 112;
+    /** Descriptor limit in the settings of each host; 0 sets none. */
+    int maximumDescriptors_ = 0;
 };
 
 /** One entry host. */
