--- a/libraries/connection/backendpool.cpp
+++ b/libraries/connection/backendpool.cpp
@@ -4,7 +4,10 @@
 #include "core/clock.h"
 #include "core/digest.h"
 
+#include <absl/time/clock.h>
+
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <variant>
 
@@ -17,6 +20,15 @@
 /** Responses to other requests that are skipped on a connection before the exchange fails. */
 constexpr auto maximumMismatchedResponses = 3;
 
+/** Size of the parts in which the rest of a response is passed on. */
+constexpr auto passedPartSize = std::size_t { 32 } * 1024;
+
+/** A server without connections is forgotten after this time; requests that began before have ended by then. */
+constexpr auto generationMemory = absl::Minutes(10);
+
+/** Pause before a part is read again for which there was no memory. */
+constexpr auto noRoomPause = absl::Milliseconds(5);
+
 constexpr auto firstFinalStatus = 200;
 constexpr auto lastStatus = 599;
 
@@ -32,9 +44,9 @@
         || equalIgnoringCase(name, names.organisation_) || (!names.expectedInstance_.empty() && equalIgnoringCase(name, names.expectedInstance_));
 }
 
-auto serializeOutgoing(const BackendHeaders &names, const RequestContent &request, const BackendCall &call, absl::Duration remaining) -> std::string
+auto headOfOutgoing(const BackendHeaders &names, const RequestContent &request, const BackendCall &call, absl::Duration remaining) -> std::string
 {
-    auto outgoing = RequestContent { request.method_, request.target_, {}, request.body_ };
+    auto outgoing = RequestContent { request.method_, request.target_, {}, {} };
     auto &headers = outgoing.headers_;
     for (auto &header : withoutHopByHopHeaders(request.headers_)) {
         if (!isReservedHeader(names, header.name_)) {
@@ -48,10 +60,10 @@
     if (!call.organisation_.empty()) {
         headers.push_back({ names.organisation_, call.organisation_ });
     }
-    if (!names.expectedInstance_.empty() && !call.expectedInstance_.empty()) {
-        headers.push_back({ names.expectedInstance_, call.expectedInstance_ });
+    if (!names.expectedInstance_.empty() && !call.peer_.name_.empty()) {
+        headers.push_back({ names.expectedInstance_, call.peer_.name_ });
     }
-    return serializeRequest(outgoing);
+    return serializeHead(outgoing);
 }
 
 auto failure(ExchangeStatus status, std::string detail) -> BackendExchange
@@ -76,11 +88,14 @@
     case MessageStatus::HeadTooLarge:
     case MessageStatus::BodyTooLarge:
         return failure(ExchangeStatus::Incomplete, "response too large");
+    case MessageStatus::NoRoom:
+        return failure(ExchangeStatus::Incomplete, "no memory for the response");
     case MessageStatus::Undelimited:
         return failure(ExchangeStatus::Incomplete, "undelimited response");
     case MessageStatus::Abandoned:
         return failure(ExchangeStatus::Abandoned, "the caller closed its connection");
     case MessageStatus::Malformed:
+    case MessageStatus::Partial:
     case MessageStatus::Complete:
         return failure(ExchangeStatus::Incomplete, "malformed response");
     }
@@ -121,12 +136,6 @@
     return std::nullopt;
 }
 
-struct ReceivedResponse
-{
-    BackendExchange exchange_;
-    bool reusable_ = false;
-};
-
 // A backend server may send a second response to an earlier request, which must not be mistaken for the response to this one. A response with several
 // identifiers could be to either request.
 auto isMismatched(const BackendPoolSettings &settings, const BackendCall &call, const IncomingResponse &response) -> bool
@@ -150,37 +159,28 @@
     return exchange;
 }
 
-auto receive(TcpConnection &connection, const BackendPoolSettings &settings, ByteBudget &memory, const BackendCall &call, const std::string &method)
-    -> ReceivedResponse
+// The head of a response as it is passed on.
+auto forwardedHead(const IncomingResponse &response) -> HttpResponse
 {
-    const auto limits = ResponseLimits { settings.maximumResponseHead_, settings.maximumResponseBody_, settings.acceptsUndelimited_, &memory };
-    auto response = IncomingResponse {};
-    for (auto mismatched = 0; mismatched <= maximumMismatchedResponses; ++mismatched) {
-        const auto status = readResponse(connection, method, limits, call.deadline_, response);
-        if (status != MessageStatus::Complete) {
-            return { withHeadOf(failureOf(status), settings, call, response) };
-        }
-        if (!isMismatched(settings, call, response)) {
-            break;
-        }
-        if (response.closesConnection_ || mismatched == maximumMismatchedResponses) {
-            return { failure(ExchangeStatus::Incomplete, "response to another request") };
-        }
-    }
-    auto received = ReceivedResponse {};
-    received.exchange_.status_ = ExchangeStatus::Complete;
-    received.exchange_.closing_ = response.closesConnection_;
-    received.reusable_ = !response.closesConnection_;
-    auto &httpResponse = received.exchange_.response_;
-    httpResponse = std::move(response.httpResponse_);
-    httpResponse.headers_ = withoutHopByHopHeaders(httpResponse.headers_);
+    auto forwarded = HttpResponse { response.httpResponse_.status_, withoutHopByHopHeaders(response.httpResponse_.headers_), {} };
     // Content-Length is set again when the body is forwarded. In a response without a body it is the length that a GET would return.
     if (!response.isBodyless_) {
-        std::erase_if(httpResponse.headers_, [](const HeaderField &header) {
+        std::erase_if(forwarded.headers_, [](const HeaderField &header) {
             return equalIgnoringCase(header.name_, "content-length");
         });
     }
-    return received;
+    return forwarded;
+}
+
+// Reads a response that is not passed on.
+auto discardBody(ResponseReader &reader, absl::Time deadline) -> MessageStatus
+{
+    auto status = MessageStatus::Partial;
+    while (status == MessageStatus::Partial) {
+        status = reader.readBody(passedPartSize, deadline);
+        static_cast<void>(reader.takeBody());
+    }
+    return status;
 }
 
 }
@@ -212,17 +212,47 @@
 
 BackendPool::BackendPool(BackendPoolSettings settings)
     : settings_(std::move(settings))
-    , responseMemory_(settings_.responseMemory_)
 {
 }
 
+struct BackendPool::OpenExchange
+{
+    OpenExchange(IdleConnection connection, const BackendCall &call, const BackendPoolSettings &settings)
+        : idle_(std::move(connection))
+        , address_(call.address_)
+        , deadline_(call.deadline_)
+        , reader_(idle_.connection_, { settings.maximumResponseHead_, settings.maximumResponseBody_, settings.acceptsUndelimited_, settings.bodyMemory_ })
+    {
+    }
+
+    // A reset lets the backend server detect that it can stop processing the request.
+    ~OpenExchange()
+    {
+        if (!isFinished_) {
+            idle_.connection_.abort();
+        }
+    }
+
+    OpenExchange(const OpenExchange &) = delete;
+    auto operator=(const OpenExchange &) -> OpenExchange & = delete;
+
+    IdleConnection idle_;
+    std::string address_;
+    absl::Time deadline_;
+    ResponseReader reader_;
+    /** Whether the connection can be used again after the response. */
+    bool isReusable_ = false;
+    /** The response is complete. */
+    bool isFinished_ = false;
+};
+
 auto BackendPool::exchange(const BackendCall &call, const RequestContent &request) -> BackendExchange
 {
     auto idle = call.needsNewConnection_ ? std::nullopt : takeIdle(call);
     const auto reused = idle.has_value();
     const auto idleTime = reused ? monotonicNow() - idle->idleSince_ : absl::ZeroDuration();
     if (!idle) {
-        const auto generation = generationOf(call.address_);
+        const auto generation = generationOf(call);
         auto connected = attempt([&] {
             return TcpConnection::connect(call.address_, std::min(call.deadline_, monotonicNow() + settings_.connectTimeout_), call.callerSocket_);
         });
@@ -231,48 +261,107 @@
         }
         idle = IdleConnection { std::get<TcpConnection>(std::move(connected)), absl::InfinitePast(), generation };
     }
-    auto &connection = idle->connection_;
-    const auto bytesWrittenBefore = connection.bytesWritten();
+    const auto bytesWrittenBefore = idle->connection_.bytesWritten();
     const auto remaining = call.deadline_ - monotonicNow();
     if (remaining <= absl::ZeroDuration()) {
         return failure(ExchangeStatus::NotSent, "the deadline passed before sending");
     }
-    const auto message = serializeOutgoing(settings_.headers_, request, call, remaining);
+    auto head = headOfOutgoing(settings_.headers_, request, call, remaining);
     if (auto unsent = reasonNotToSend(call)) {
         idle->idleSince_ = reused ? idle->idleSince_ : monotonicNow();
         keepIdle(call.address_, std::move(*idle));
         return std::move(*unsent);
     }
     const auto sentAt = monotonicNow();
+    const auto open = std::make_shared<OpenExchange>(std::move(*idle), call, settings_);
+    auto &connection = open->idle_.connection_;
     connection.watchCaller(call.repeatable_ ? call.callerSocket_ : -1);
     connection.watchEnd(settings_.endDescriptor_);
-    const auto writeStatus = connection.write(message, call.deadline_);
+    const auto writeStatus = writeMessage(connection, std::move(head), request.body_, call.deadline_);
     if (connection.bytesWritten() == bytesWrittenBefore) {
         return failure(ExchangeStatus::NotSent, "no byte could be written to the connection");
     }
-    auto received = ReceivedResponse {};
+    open->isReusable_ = writeStatus == TransferStatus::Done;
     // A server may respond before it has read the whole request, so a failed write does not end the exchange.
     const auto firstByteDeadline = reused ? monotonicNow() + call.firstByteTimeout_ : absl::InfiniteFuture();
-    const auto firstByteFailure = awaitFirstByte(connection, firstByteDeadline, call.deadline_);
-    if (firstByteFailure) {
-        received.exchange_ = *firstByteFailure;
+    auto firstByteFailure = awaitFirstByte(connection, firstByteDeadline, call.deadline_);
+    auto result = firstByteFailure ? std::move(*firstByteFailure) : receive(open, call, request.method_);
+    result.sentAt_ = sentAt;
+    result.connectionReused_ = reused;
+    result.wasIdleForLong_ = idleTime > settings_.nonRepeatableIdleLimit_;
+    return result;
+}
+
+// Reads the response, or its head and first part.
+auto BackendPool::receive(const std::shared_ptr<OpenExchange> &open, const BackendCall &call, const std::string &method) -> BackendExchange
+{
+    auto &reader = open->reader_;
+    for (auto mismatched = 0;; ++mismatched) {
+        const auto status = reader.readHead(method, call.deadline_);
+        if (status != MessageStatus::Complete) {
+            return withHeadOf(failureOf(status), settings_, call, reader.response());
+        }
+        if (!isMismatched(settings_, call, reader.response())) {
+            break;
+        }
+        const auto discarded = discardBody(reader, call.deadline_);
+        if (discarded != MessageStatus::Complete) {
+            return failureOf(discarded);
+        }
+        if (reader.response().closesConnection_ || mismatched == maximumMismatchedResponses) {
+            return failure(ExchangeStatus::Incomplete, "response to another request");
+        }
+    }
+    const auto &response = reader.response();
+    open->isReusable_ = open->isReusable_ && !response.closesConnection_;
+    const auto held = call.acceptsPart_ ? settings_.heldResponseBody_ : std::numeric_limits<std::size_t>::max();
+    const auto status = reader.readBody(held, call.deadline_);
+    const auto isPart = status == MessageStatus::Partial || (status == MessageStatus::NoRoom && call.acceptsPart_);
+    if (status != MessageStatus::Complete && !isPart) {
+        return withHeadOf(failureOf(status), settings_, call, response);
+    }
+    auto exchange = BackendExchange {};
+    exchange.status_ = ExchangeStatus::Complete;
+    exchange.closing_ = response.closesConnection_;
+    exchange.response_ = forwardedHead(response);
+    exchange.response_.body_ = reader.takeBody();
+    if (isPart) {
+        exchange.rest_ = ResponseRest { reader.statedLength(), [this, open] {
+                                           return nextPart(*open);
+                                       } };
     } else {
-        received = receive(connection, settings_, responseMemory_, call, request.method_);
-    }
-    received.exchange_.sentAt_ = sentAt;
-    received.exchange_.connectionReused_ = reused;
-    received.exchange_.wasIdleForLong_ = idleTime > settings_.nonRepeatableIdleLimit_;
-    if (received.exchange_.status_ != ExchangeStatus::Complete) {
-        // A reset lets the backend server detect that it can stop processing the request.
-        connection.abort();
-        return std::move(received.exchange_);
-    }
-    if (received.reusable_ && writeStatus == TransferStatus::Done && connection.isOpenAndIdle()) {
-        idle->idleSince_ = monotonicNow();
-        connection.watchCaller(-1);
-        keepIdle(call.address_, std::move(*idle));
+        keepFinished(*open);
+    }
+    return exchange;
+}
+
+auto BackendPool::nextPart(OpenExchange &open) -> BodyPart
+{
+    auto status = open.reader_.readBody(passedPartSize, open.deadline_);
+    while (status == MessageStatus::NoRoom && monotonicNow() < open.deadline_) {
+        absl::SleepFor(noRoomPause);
+        status = open.reader_.readBody(passedPartSize, open.deadline_);
+    }
+    auto body = open.reader_.takeBody();
+    switch (status) {
+    case MessageStatus::Partial:
+        return { std::move(body), BodyPartEnd::More };
+    case MessageStatus::Complete:
+        keepFinished(open);
+        return { std::move(body), BodyPartEnd::Complete };
+    default:
+        return { {}, BodyPartEnd::Cut };
+    }
+}
+
+auto BackendPool::keepFinished(OpenExchange &open) -> void
+{
+    open.isFinished_ = true;
+    if (open.isReusable_ && open.idle_.connection_.isOpenAndIdle()) {
+        open.idle_.idleSince_ = monotonicNow();
+        open.idle_.connection_.watchCaller(-1);
+        keepIdle(open.address_, std::move(open.idle_));
     }
-    return std::move(received.exchange_);
 }
 
 auto BackendPool::isAccepting(const std::string &address) const -> bool
@@ -289,14 +378,71 @@
     return TcpConnection::isListening(address, monotonicNow() + settings_.connectTimeout_);
 }
 
+auto BackendPool::beginGeneration(Server &server, absl::Time now) -> std::vector<IdleConnection>
+{
+    server.generation_ += 1;
+    server.generationSince_ = now;
+    return std::exchange(server.idle_, {});
+}
+
 auto BackendPool::closeIdle(const std::string &address) -> void
 {
     auto closed = std::vector<IdleConnection> {};
     auto &shard = shardOf(address);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    auto &server = shard.servers_[address];
-    server.generation_ += 1;
-    closed.swap(server.idle_);
+    closed = beginGeneration(shard.servers_[address], monotonicNow());
+    idleCount_ -= closed.size();
+}
+
+auto BackendPool::closeUnused(absl::Time now, absl::FunctionRef<bool(const std::string &address, const ConnectionPeer &peer)> isInUse) -> void
+{
+    for (auto &shard : shards_) {
+        const auto lock = absl::MutexLock(&shard.mutex_);
+        for (auto &[address, server] : shard.servers_) {
+            if (!isInUse(address, server.peer_)) {
+                idleCount_ -= beginGeneration(server, now).size();
+            }
+            idleCount_ -= std::erase_if(server.idle_, [&](const IdleConnection &connection) {
+                return now - connection.idleSince_ > settings_.idleLimit_;
+            });
+        }
+        absl::erase_if(shard.servers_, [&](const auto &item) {
+            return item.second.idle_.empty() && now - item.second.generationSince_ > generationMemory;
+        });
+    }
+}
+
+// Closes an eighth more than necessary, so that not each further connection has to look for the oldest.
+auto BackendPool::closeOldestIdle() -> void
+{
+    auto times = std::vector<absl::Time> {};
+    for (auto &shard : shards_) {
+        const auto lock = absl::MutexLock(&shard.mutex_);
+        for (const auto &[address, server] : shard.servers_) {
+            for (const auto &connection : server.idle_) {
+                times.push_back(connection.idleSince_);
+            }
+        }
+    }
+    const auto kept = settings_.maximumIdle_ - settings_.maximumIdle_ / 8;
+    if (times.size() <= kept) {
+        return;
+    }
+    const auto limit = times.begin() + static_cast<std::ptrdiff_t>(times.size() - kept);
+    std::nth_element(times.begin(), limit, times.end());
+    for (auto &shard : shards_) {
+        const auto lock = absl::MutexLock(&shard.mutex_);
+        for (auto &[address, server] : shard.servers_) {
+            idleCount_ -= std::erase_if(server.idle_, [&](const IdleConnection &connection) {
+                return connection.idleSince_ < *limit;
+            });
+        }
+    }
+}
+
+auto BackendPool::idleCount() const -> std::size_t
+{
+    return idleCount_;
 }
 
 auto BackendPool::idleCount(const std::string &address) const -> std::size_t
@@ -312,20 +458,34 @@
     return shards_[stableHash(address) % shardCount];
 }
 
+auto BackendPool::serverOf(Shard &shard, const BackendCall &call) -> Server &
+{
+    shard.mutex_.AssertHeld();
+    auto &server = shard.servers_[call.address_];
+    if (server.peer_ != call.peer_) {
+        server.peer_ = call.peer_;
+        server.generation_ += 1;
+        server.generationSince_ = monotonicNow();
+    }
+    return server;
+}
+
 auto BackendPool::takeIdle(const BackendCall &call) -> std::optional<IdleConnection>
 {
     const auto now = monotonicNow();
     const auto idleLimit = call.repeatable_ ? settings_.idleLimit_ : settings_.nonRepeatableIdleLimit_;
     auto &shard = shardOf(call.address_);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    auto &idle = shard.servers_[call.address_].idle_;
-    std::erase_if(idle, [&](const IdleConnection &connection) {
-        return now - connection.idleSince_ > settings_.idleLimit_;
+    auto &server = serverOf(shard, call);
+    auto &idle = server.idle_;
+    idleCount_ -= std::erase_if(idle, [&](const IdleConnection &connection) {
+        return now - connection.idleSince_ > settings_.idleLimit_ || connection.generation_ != server.generation_;
     });
     // The most recently used connection is last and the least likely to be closed by the server.
     while (!idle.empty() && now - idle.back().idleSince_ <= idleLimit) {
         auto candidate = std::move(idle.back());
         idle.pop_back();
+        idleCount_ -= 1;
         if (candidate.connection_.isOpenAndIdle()) {
             return candidate;
         }
@@ -335,19 +495,27 @@
 
 auto BackendPool::keepIdle(const std::string &address, IdleConnection connection) -> void
 {
-    auto &shard = shardOf(address);
-    const auto lock = absl::MutexLock(&shard.mutex_);
-    auto &server = shard.servers_[address];
-    if (connection.generation_ == server.generation_ && server.idle_.size() < settings_.maximumIdlePerServer_) {
+    {
+        auto &shard = shardOf(address);
+        const auto lock = absl::MutexLock(&shard.mutex_);
+        auto &server = shard.servers_[address];
+        if (connection.generation_ != server.generation_ || server.idle_.size() >= settings_.maximumIdlePerServer_) {
+            return;
+        }
+        connection.connection_.releaseBuffer();
         server.idle_.push_back(std::move(connection));
+        idleCount_ += 1;
+    }
+    if (idleCount_.load() > settings_.maximumIdle_) {
+        closeOldestIdle();
     }
 }
 
-auto BackendPool::generationOf(const std::string &address) -> std::uint64_t
+auto BackendPool::generationOf(const BackendCall &call) -> std::uint64_t
 {
-    auto &shard = shardOf(address);
+    auto &shard = shardOf(call.address_);
     const auto lock = absl::MutexLock(&shard.mutex_);
-    return shard.servers_[address].generation_;
+    return serverOf(shard, call).generation_;
 }
 
 }
--- a/libraries/connection/backendpool.h
+++ b/libraries/connection/backendpool.h
@@ -1,20 +1,24 @@
 /** Pooled HTTP connections to backend servers, each used for one request and response at a time. */
 #pragma once
 
-#include "connection/bytebudget.h"
+#include "connection/responserest.h"
 #include "connection/tcpconnection.h"
+#include "core/bytebudget.h"
 #include "request/httpfields.h"
 #include "request/idempotencytable.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/time/time.h>
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,6 +51,15 @@
 /** Name of an exchange status for log lines. */
 [[nodiscard]] auto exchangeStatusName(ExchangeStatus status) -> std::string_view;
 
+/** One start of a backend server, to which connections belong; another one may have the same address later. */
+struct ConnectionPeer
+{
+    std::string name_;
+    std::int64_t incarnation_ = 0;
+
+    auto operator==(const ConnectionPeer &other) const -> bool = default;
+};
+
 /** One request to one backend server. */
 struct BackendCall
 {
@@ -67,10 +80,12 @@
      * there is none.
      */
     int callerSocket_ = -1;
-    /** Identifier of the intended backend server; another server that now has the address must reject the request. */
-    std::string expectedInstance_ = {};
+    /** The intended backend server; another server that now has the address must reject the request. */
+    ConnectionPeer peer_ = {};
     /** Value of the request identifier header that the response must echo; empty when none is expected. */
     std::string requestId_ = {};
+    /** Whether the result may hold the first part of a response only, with the rest of it. */
+    bool acceptsPart_ = false;
     /** Called once the connection is open, just before the request is written, since the server may have been marked meanwhile; may be empty. */
     std::function<bool()> maySend_ = {};
 };
@@ -98,6 +113,8 @@
      * status and headers only; otherwise its status is 0.
      */
     HttpResponse response_;
+    /** What follows the part of the body in the response; only if the call accepts a part. */
+    std::optional<ResponseRest> rest_ = std::nullopt;
     /** Monotonic time just before the request was written. */
     absl::Time sentAt_ = absl::InfinitePast();
     /** The backend server closes the connection after the response; it may be about to shut down. */
@@ -118,10 +135,14 @@
     /** Idle limit for requests that may run only once: if the server closes the connection meanwhile, the outcome of the request is unknown. */
     absl::Duration nonRepeatableIdleLimit_ = absl::Seconds(1);
     std::size_t maximumIdlePerServer_ = 64;
+    /** Limit of idle connections to all servers together; beyond it those that have been idle for longest are closed. */
+    std::size_t maximumIdle_ = 4096;
     std::size_t maximumResponseHead_ = std::size_t { 64 } * 1024;
     std::size_t maximumResponseBody_ = std::size_t { 64 } * 1024 * 1024;
-    /** Largest total size of the response bodies that are being read at the same time. */
-    std::size_t responseMemory_ = std::size_t { 512 } * 1024 * 1024;
+    /** Largest part of a body that is held before it is passed on, if the call accepts a part. */
+    std::size_t heldResponseBody_ = std::size_t { 1024 } * 1024;
+    /** Budget of response bodies, from their first byte until they have been passed on. */
+    ByteBudgetPointer bodyMemory_ = std::make_shared<ByteBudget>(ByteBudgetLimits { std::size_t { 512 } * 1024 * 1024 });
     /** Time for which isAccepting() waits for the end of a connection that it has opened; a busy machine closes the sockets of an ended process within it. */
     absl::Duration acceptedOpenTime_ = absl::Milliseconds(50);
     /** Descriptor that becomes readable when the process ends; exchanges then end as at their deadlines. -1 when there is none. */
@@ -146,10 +167,18 @@
     /** Closes the idle connections to a backend server. */
     auto closeIdle(const std::string &address) -> void;
 
+    /** Closes connections that have been idle for too long, and those to peers that are not in use any more. */
+    auto closeUnused(absl::Time now, absl::FunctionRef<bool(const std::string &address, const ConnectionPeer &peer)> isInUse) -> void;
+
+    /** Number of idle connections to all backend servers. */
+    [[nodiscard]] auto idleCount() const -> std::size_t;
+
     /** Number of idle connections to a backend server. */
     [[nodiscard]] auto idleCount(const std::string &address) const -> std::size_t;
 
 private:
+    /** An exchange whose response has not been received completely. */
+    struct OpenExchange;
     struct IdleConnection
     {
         TcpConnection connection_;
@@ -159,8 +188,12 @@
     };
     struct Server
     {
+        ConnectionPeer peer_;
+        /** The connection that has been idle for longest is first. */
         std::vector<IdleConnection> idle_;
         std::uint64_t generation_ = 0;
+        /** Monotonic time at which the generation changed. */
+        absl::Time generationSince_ = absl::InfinitePast();
     };
     struct Shard
     {
@@ -172,11 +205,19 @@
     [[nodiscard]] auto shardOf(const std::string &address) const -> Shard &;
     [[nodiscard]] auto takeIdle(const BackendCall &call) -> std::optional<IdleConnection>;
     auto keepIdle(const std::string &address, IdleConnection connection) -> void;
-    [[nodiscard]] auto generationOf(const std::string &address) -> std::uint64_t;
+    [[nodiscard]] auto receive(const std::shared_ptr<OpenExchange> &open, const BackendCall &call, const std::string &method) -> BackendExchange;
+    [[nodiscard]] auto nextPart(OpenExchange &open) -> BodyPart;
+    auto keepFinished(OpenExchange &open) -> void;
+    [[nodiscard]] auto generationOf(const BackendCall &call) -> std::uint64_t;
+    /** The server of a call, without the connections that belong to another peer. */
+    [[nodiscard]] static auto serverOf(Shard &shard, const BackendCall &call) -> Server &;
+    /** Makes open connections to a server useless; returns those that are idle. */
+    static auto beginGeneration(Server &server, absl::Time now) -> std::vector<IdleConnection>;
+    auto closeOldestIdle() -> void;
 
     BackendPoolSettings settings_;
-    ByteBudget responseMemory_;
     mutable std::array<Shard, shardCount> shards_;
+    std::atomic<std::size_t> idleCount_ = 0;
 };
 
 }
--- a/libraries/connection/httpmessagetest.cpp
+++ b/libraries/connection/httpmessagetest.cpp
@@ -272,6 +272,16 @@
         { "status of four digits", "GET", "HTTP/1.1 2000\r\nContent-Length: 2\r\n\r\nok", malformed },
         { "status above 599", "GET", "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nok", malformed },
         { "status zero", "GET", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "status zero without a reason phrase", "GET", "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "status zero with an empty reason phrase", "GET", "HTTP/1.1 000 \r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "status zero to HEAD", "HEAD", "HTTP/1.1 000 X\r\n\r\n", malformed },
+        { "status zero in chunks", "GET", "HTTP/1.1 000 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", malformed },
+        { "status zero after an informational response", "GET", "HTTP/1.1 103 E\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "status below 100", "GET", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "status 600", "GET", "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "status with a leading zero", "GET", "HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "negative status", "GET", "HTTP/1.1 -20 OK\r\nContent-Length: 2\r\n\r\nok", malformed },
+        { "no status", "GET", "HTTP/1.1  OK\r\nContent-Length: 2\r\n\r\nok", malformed },
         { "not HTTP", "GET", "hello\r\n\r\n", malformed },
     };
     for (const auto &responseCase : cases) {
@@ -363,10 +373,18 @@
 // Guards against serialization that alters a message.
 TEST_CASE("messages are serialized unchanged")
 {
-    CHECK(serializeRequest({ "PURGE", "/a?b=%20", { { "b", "1%0d" }, { "A", "" }, { "Content-Length", "2" } }, "ok" })
+    CHECK(serializeHead(RequestContent { "PURGE", "/a?b=%20", { { "b", "1%0d" }, { "A", "" }, { "Content-Length", "2" } }, "" }) + "ok"
           == "PURGE /a?b=%20 HTTP/1.1\r\nb: 1%0d\r\nA: \r\nContent-Length: 2\r\n\r\nok");
-    CHECK(serializeResponse({ 200, { { "Content-Length", "2" } }, "ok" }) == "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-    CHECK(serializeResponse({ 404, { { "Content-Length", "9" } }, "" }) == "HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\n");
+    CHECK(serializeHead(HttpResponse { 200, { { "Content-Length", "2" } }, "" }) + "ok" == "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK(serializeHead(HttpResponse { 404, { { "Content-Length", "9" } }, "" }) == "HTTP/1.1 404 Not Found\r\nContent-Length: 9\r\n\r\n");
+    for (const auto size : { std::size_t { 2 }, std::size_t { 100 } * 1024 }) {
+        auto pair = makeConnectedPair();
+        const auto body = std::string(size, 'x');
+        REQUIRE(writeMessage(pair.sender_, "HEAD\r\n", body, testDeadline()) == TransferStatus::Done);
+        pair.sender_.finishWriting();
+        while (pair.receiver_.fill(testDeadline()) == TransferStatus::Done) { }
+        CHECK(pair.receiver_.buffered() == "HEAD\r\n" + body);
+    }
     auto httpResponse = HttpResponse {};
-    CHECK(readResponse("GET", serializeResponse({ 599, { { "Content-Length", "2" } }, "ok" }), httpResponse) == MessageStatus::Complete);
+    CHECK(readResponse("GET", serializeHead(HttpResponse { 599, { { "Content-Length", "2" } }, "" }) + "ok", httpResponse) == MessageStatus::Complete);
 }
--- a/libraries/connection/scriptedserver.h
+++ b/libraries/connection/scriptedserver.h
@@ -151,8 +151,8 @@
             }
             static_cast<void>(reader.readBody(1 << 24, monotonicNow() + absl::Seconds(5)));
             const auto &content = reader.request();
-            const auto head = serializeRequest({ content.method_, content.target_, content.headers_, "" });
-            const auto request = ScriptedRequest { head, content.body_, indexOnConnection, requests_.fetch_add(1) };
+            const auto head = serializeHead(RequestContent { content.method_, content.target_, content.headers_, "" });
+            const auto request = ScriptedRequest { head, content.body_.text(), indexOnConnection, requests_.fetch_add(1) };
             {
                 const auto lock = absl::MutexLock(&mutex_);
                 received_ += request.head_ + request.body_;
--- a/libraries/connection/tcpconnection.cpp
+++ b/libraries/connection/tcpconnection.cpp
@@ -298,6 +298,14 @@
     consumed_ = std::min(consumed_ + bytes, buffer_.size());
 }
 
+auto TcpConnection::releaseBuffer() -> void
+{
+    if (buffered().empty()) {
+        buffer_ = {};
+        consumed_ = 0;
+    }
+}
+
 auto TcpConnection::bytesWritten() const -> std::size_t
 {
     return bytesWritten_;
--- a/libraries/connection/tcpconnection.h
+++ b/libraries/connection/tcpconnection.h
@@ -84,6 +84,9 @@
     /** Drops bytes from the front of the buffer. */
     auto consume(std::size_t bytes) -> void;
 
+    /** Frees the buffer if it holds no bytes, since an idle connection needs none. */
+    auto releaseBuffer() -> void;
+
     /** Number of bytes that the kernel has accepted so far. */
     [[nodiscard]] auto bytesWritten() const -> std::size_t;
 
--- a/libraries/core/digest.cpp
+++ b/libraries/core/digest.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <memory>
 
 namespace lycheecleat
 {
@@ -31,6 +32,19 @@
     return toHex(digest.data(), digest.size());
 }
 
+auto sha256Hex(std::string_view head, const MessageBody &body) -> std::string
+{
+    auto digest = std::array<unsigned char, SHA256_DIGEST_LENGTH> {};
+    const auto context = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>(EVP_MD_CTX_new(), EVP_MD_CTX_free);
+    EVP_DigestInit_ex(context.get(), EVP_sha256(), nullptr);
+    EVP_DigestUpdate(context.get(), head.data(), head.size());
+    for (const auto &piece : body.pieces()) {
+        EVP_DigestUpdate(context.get(), piece.data(), piece.size());
+    }
+    EVP_DigestFinal_ex(context.get(), digest.data(), nullptr);
+    return toHex(digest.data(), digest.size());
+}
+
 auto hmacHex(std::string_view secret, std::string_view data) -> std::string
 {
     auto digest = std::array<unsigned char, EVP_MAX_MD_SIZE> {};
--- a/libraries/core/digest.h
+++ b/libraries/core/digest.h
@@ -1,6 +1,8 @@
 /** Digests, random identifiers and hashes. */
 #pragma once
 
+#include "core/messagebody.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -11,6 +13,9 @@
 /** SHA-256 of the data, as 64 lower-case hexadecimal digits (FIPS 180-4). */
 [[nodiscard]] auto sha256Hex(std::string_view data) -> std::string;
 
+/** SHA-256 of a head and the body that follows it, without joining them. */
+[[nodiscard]] auto sha256Hex(std::string_view head, const MessageBody &body) -> std::string;
+
 /** HMAC-SHA-256 of the data under the secret, as 64 lower-case hexadecimal digits (RFC 2104). */
 [[nodiscard]] auto hmacHex(std::string_view secret, std::string_view data) -> std::string;
 
--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -6,6 +6,7 @@
 #include "core/log.h"
 #include "process/callerconnection.h"
 #include "process/callermessages.h"
+#include "process/listeningsockets.h"
 #include "process/processdelay.h"
 #include "process/requestmessages.h"
 #include "request/refusal.h"
@@ -13,6 +14,7 @@
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
 #include <arpa/inet.h>
@@ -39,9 +41,6 @@
 namespace
 {
 
-// Large enough for simultaneous connects of all callers; the kernel lowers it to its own limit.
-constexpr auto listenBacklog = 4096;
-
 // Threads that refuse requests beyond the limit; each refusal takes microseconds.
 constexpr auto sheddingThreads = 2;
 
@@ -90,12 +89,13 @@
     ~State();
 
     auto bind() -> Result<void>;
-    auto bindOne(const std::string &name) -> Result<int>;
+    auto listenOn(const std::string &address) -> Result<int>;
     auto runWorker() -> void;
     auto checkTimeouts() -> void;
     auto acceptAll(std::size_t listener) -> void;
-    auto serveReceivedRequest(CallerConnection &connection, RequestReader &reader, const RequestArrival &arrival) -> ConnectionStep;
-    auto write(CallerConnection &connection, const std::string &method, HttpResponse response, bool close) -> ConnectionStep;
+    auto serveReceivedRequest(CallerConnection &connection) -> ConnectionStep;
+    auto endRequest(CallerConnection &connection, ConnectionStep next) -> ConnectionStep;
+    auto write(CallerConnection &connection, const std::string &method, CallerResponse response) -> ConnectionStep;
     auto addThread() -> void;
     auto currentLimits() const -> CallerLimits;
     auto waitForInput(std::uint64_t id, std::unique_ptr<CallerConnection> connection, bool isNew) -> void;
@@ -107,11 +107,14 @@
     auto respond(CallerConnection &connection, const std::string &method, const httplib::Response &response, bool close) -> ConnectionStep;
     auto refuse(CallerConnection &connection, Refusal refusal, std::string_view detail, Outcome outcome = Outcome::NotRun) -> ConnectionStep;
     auto timeoutOf(const CallerConnection &connection) const -> absl::Duration;
+    auto isExpired(const CallerConnection &connection, absl::Time now) const -> bool;
+    auto closeIf(absl::FunctionRef<bool(const CallerConnection &)> condition) -> std::size_t;
     auto closeExpired(absl::Time now, bool includeIdle) -> void;
+    auto closeStalledBodies(absl::Time now) -> void;
 
     CallerServerSettings settings_;
     CallerHandlers handlers_;
-    std::vector<int> listeners_;
+    ListeningSockets listeners_;
     int epoll_ = -1;
     int wakeDescriptor_ = -1;
     int port_ = 0;
@@ -120,6 +123,11 @@
     std::atomic<std::size_t> openConnections_ = 0;
     std::atomic<int> activeConnections_ = 0;
     std::atomic<int> unansweredRequests_ = 0;
+    std::atomic<std::int64_t> bodiesWithoutRoom_ = 0;
+    std::atomic<std::int64_t> stalledBodies_ = 0;
+    std::atomic<std::int64_t> connectionsBeyondLimit_ = 0;
+    /** Rejections of the budget at the last check for stalled bodies. */
+    std::int64_t lastRejections_ = 0;
     std::atomic<bool> draining_ = false;
     std::atomic<bool> stopped_ = false;
     absl::Notification timeoutChecksEnd_;
@@ -143,32 +151,17 @@
             ::close(descriptor);
         }
     }
-    for (const auto listener : listeners_) {
-        ::close(listener);
-    }
 }
 
-auto CallerServer::State::bindOne(const std::string &name) -> Result<int>
+auto CallerServer::State::listenOn(const std::string &address) -> Result<int>
 {
-    auto address = sockaddr_storage {};
-    const auto length = parseSockaddr(name, address);
-    if (length == 0) {
-        return makeError("listen for callers", name, "the address must be an IP address and a port");
-    }
-    const auto listener = socket(address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    listeners_.push_back(listener);
-    const auto enabled = 1;
-    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-    if (::bind(listener, reinterpret_cast<const sockaddr *>(&address), length) != 0 || listen(listener, listenBacklog) != 0) {
-        return makeError("listen for callers", name, std::generic_category().message(errno));
+    BOOST_LEAF_AUTO(port, listeners_.add(address));
+    const auto index = listeners_.size() - 1;
+    auto event = epoll_event { EPOLLIN | EPOLLEXCLUSIVE, { .u64 = firstListenerId + index } };
+    if (epoll_ctl(epoll_, EPOLL_CTL_ADD, listeners_.descriptor(index), &event) != 0) {
+        return makeError("listen for callers", address, std::generic_category().message(errno));
     }
-    auto event = epoll_event { EPOLLIN | EPOLLEXCLUSIVE, { .u64 = firstListenerId + listeners_.size() - 1 } };
-    if (epoll_ctl(epoll_, EPOLL_CTL_ADD, listener, &event) != 0) {
-        return makeError("listen for callers", name, std::generic_category().message(errno));
-    }
-    auto size = socklen_t { sizeof(address) };
-    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
-    return portOf(address);
+    return port;
 }
 
 auto CallerServer::State::bind() -> Result<void>
@@ -182,9 +175,9 @@
     if (settings_.furtherAddresses_.size() >= maximumListeners) {
         return makeError("listen for callers", settings_.address_, "too many addresses");
     }
-    BOOST_LEAF_ASSIGN(port_, bindOne(settings_.address_));
+    BOOST_LEAF_ASSIGN(port_, listenOn(settings_.address_));
     for (const auto &address : settings_.furtherAddresses_) {
-        BOOST_LEAF_CHECK(bindOne(address));
+        BOOST_LEAF_CHECK(listenOn(address));
     }
     return {};
 }
@@ -234,15 +227,11 @@
 
 auto CallerServer::State::acceptAll(std::size_t listener) -> void
 {
-    while (true) {
-        auto address = sockaddr_storage {};
-        auto size = socklen_t { sizeof(address) };
-        const auto socket = accept4(listeners_[listener], reinterpret_cast<sockaddr *>(&address), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (socket < 0) {
-            return;
-        }
-        auto connection = std::make_unique<CallerConnection>(CallerConnection { TcpConnection(socket), addressText(address), monotonicNow() });
+    while (auto accepted = listeners_.accept(listener)) {
+        const auto socket = accepted->socket_;
+        auto connection = std::make_unique<CallerConnection>(CallerConnection { TcpConnection(socket), std::move(accepted->remoteAddress_), monotonicNow() });
         if (openConnections_.load() >= settings_.maximumConnections_) {
+            connectionsBeyondLimit_ += 1;
             continue;
         }
         connection->listener_ = listener;
@@ -259,6 +248,7 @@
     auto &shard = shards_[id % shardCount];
     const auto lock = absl::MutexLock(&shard.mutex_);
     const auto socket = connection->connection_.socket();
+    connection->connection_.releaseBuffer();
     shard.waiting_[id] = std::move(connection);
     auto event = epoll_event { EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, { .u64 = id } };
     epoll_ctl(epoll_, isNew ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event);
@@ -310,9 +300,12 @@
     return status == TransferStatus::TimedOut ? ConnectionStep::Wait : ConnectionStep::Close;
 }
 
-// Reads the available input and serves one request if its head is complete. An incomplete head occupies no thread.
+// Reads the available input and serves one request if it is complete. An incomplete one occupies no thread.
 auto CallerServer::State::serveNext(CallerConnection &connection) -> ConnectionStep
 {
+    if (connection.reader_) {
+        return endRequest(connection, serveReceivedRequest(connection));
+    }
     auto &socket = connection.connection_;
     const auto maximumHeadBytes = currentLimits().maximumHeadBytes_;
     while (!skipToCompleteHead(socket, connection.emptyLineBytes_) && connection.emptyLineBytes_ + socket.buffered().size() <= maximumHeadBytes) {
@@ -330,10 +323,19 @@
                                                              : ConnectionStep::Close;
         }
     }
-    const auto isCounted = connection.listener_ == 0;
-    unansweredRequests_ += isCounted ? 1 : 0;
-    const auto next = serveRequest(connection);
-    unansweredRequests_ -= isCounted ? 1 : 0;
+    if (connection.listener_ == 0) {
+        connection.unfinished_.emplace(unansweredRequests_);
+    }
+    return endRequest(connection, serveRequest(connection));
+}
+
+// Prepares the connection for its next request, unless the body of this one is incomplete.
+auto CallerServer::State::endRequest(CallerConnection &connection, ConnectionStep next) -> ConnectionStep
+{
+    if (connection.reader_) {
+        return next;
+    }
+    connection.unfinished_.reset();
     connection.headBegun_ = false;
     connection.arrival_.reset();
     connection.emptyLineBytes_ = 0;
@@ -345,7 +347,8 @@
 {
     const auto arrival = arrivalOf(connection);
     const auto deadline = monotonicNow() + settings_.readTimeout_;
-    auto reader = RequestReader(connection.connection_);
+    auto ownedReader = std::make_unique<RequestReader>(connection.connection_, settings_.bodyMemory_);
+    auto &reader = *ownedReader;
     const auto headStatus = reader.readHead(currentLimits().maximumHeadBytes_, deadline);
     if (headStatus != MessageStatus::Complete) {
         return refuse(connection,
@@ -353,7 +356,9 @@
                       headStatus == MessageStatus::HeadTooLarge ? "the head is larger than allowed" : "the head is not valid HTTP/1.1");
     }
     if (handlers_.respond_) {
-        return serveReceivedRequest(connection, reader, arrival);
+        connection.reader_ = std::move(ownedReader);
+        connection.bodyProgressAt_ = arrival.readAt_;
+        return serveReceivedRequest(connection);
     }
     const auto &content = reader.request();
     auto request = requestOf(content, connection.remoteAddress_);
@@ -373,7 +378,7 @@
             return status == MessageStatus::BodyTooLarge ? refuse(connection, Refusal::BodyTooLarge, bodyTooLargeDetail)
                                                          : refuse(connection, Refusal::MalformedRequest, "the body is incomplete or not valid HTTP/1.1");
         }
-        request.body = content.body_;
+        request.body = content.body_.text();
     }
     if (isPeerClosed(connection.connection_.socket())) {
         return refuse(connection, Refusal::CallerLeft, "the caller closed its connection before its request was handled", outcome);
@@ -382,34 +387,53 @@
     return respond(connection, content.method_, response, reader.closesConnection());
 }
 
-auto CallerServer::State::serveReceivedRequest(CallerConnection &connection, RequestReader &reader, const RequestArrival &arrival) -> ConnectionStep
+// Serves the request whose head has been read, once its body is complete. Keeps its reader, and returns Wait, while it is not.
+auto CallerServer::State::serveReceivedRequest(CallerConnection &connection) -> ConnectionStep
 {
+    const auto arrival = arrivalOf(connection);
+    const auto bodyBytes = connection.reader_->bodyBytes();
+    const auto bodyStatus = connection.reader_->hasBody()
+        ? connection.reader_->readAvailableBody(currentLimits().maximumBodyBytes_, arrival.readAt_ + settings_.bodyTimeout_)
+        : MessageStatus::Complete;
+    if (bodyStatus == MessageStatus::TimedOut) {
+        connection.waitingSince_ = arrival.readAt_;
+        connection.bodyProgressAt_ = connection.reader_->bodyBytes() > bodyBytes ? monotonicNow() : connection.bodyProgressAt_;
+        return ConnectionStep::Wait;
+    }
+    const auto reader = std::move(connection.reader_);
+    if (bodyStatus == MessageStatus::BodyTooLarge) {
+        return refuse(connection, Refusal::BodyTooLarge, bodyTooLargeDetail);
+    }
+    if (bodyStatus != MessageStatus::Complete && bodyStatus != MessageStatus::NoRoom) {
+        return ConnectionStep::Close;
+    }
     const auto receivedAt = arrival.readAt_ - arrival.unreadTime_;
-    // The body timeout must not be shorter than the caller's own deadline, or it would abort uploads that are only slow.
-    const auto bodyStatus =
-        reader.hasBody() ? reader.readBody(currentLimits().maximumBodyBytes_, arrival.readAt_ + settings_.bodyTimeout_) : MessageStatus::Complete;
-    if (bodyStatus != MessageStatus::Complete) {
-        return bodyStatus == MessageStatus::BodyTooLarge ? refuse(connection, Refusal::BodyTooLarge, bodyTooLargeDetail) : ConnectionStep::Close;
+    const auto request = ReceivedRequest { reader->request(), receivedAt, connection.connection_.socket(), connection.listener_, arrival.unreadTime_ };
+    if (bodyStatus == MessageStatus::NoRoom) {
+        bodiesWithoutRoom_ += 1;
+        auto refused = handlers_.refuse_(request, Refusal::NoMemory);
+        refused.closes_ = true;
+        return write(connection, reader->request().method_, std::move(refused));
     }
-    const auto request = ReceivedRequest { reader.request(), receivedAt, connection.connection_.socket(), connection.listener_, arrival.unreadTime_ };
     const auto isOverloaded = connection.listener_ == 0 && activeConnections_.load() > settings_.maximumRequests_;
-    auto response = isOverloaded ? handlers_.respondOverloaded_(request) : handlers_.respond_(request);
+    auto response = isOverloaded ? handlers_.refuse_(request, Refusal::Overloaded) : handlers_.respond_(request);
     if (response.isAbandoned_) {
         return ConnectionStep::Close;
     }
-    return write(connection, reader.request().method_, std::move(response.httpResponse_), response.closes_ || reader.closesConnection());
+    response.closes_ = response.closes_ || reader->closesConnection();
+    return write(connection, reader->request().method_, std::move(response));
 }
 
 auto CallerServer::State::respond(CallerConnection &connection, const std::string &method, const httplib::Response &response, bool close) -> ConnectionStep
 {
-    return write(connection, method, toHttpResponse(response), close);
+    return write(connection, method, { toHttpResponse(response), close });
 }
 
-auto CallerServer::State::write(CallerConnection &connection, const std::string &method, HttpResponse response, bool close) -> ConnectionStep
+auto CallerServer::State::write(CallerConnection &connection, const std::string &method, CallerResponse response) -> ConnectionStep
 {
-    const auto closes = close || draining_;
-    const auto text = formatResponse(std::move(response), method, closes);
-    const auto written = connection.connection_.write(text, monotonicNow() + settings_.writeTimeout_);
+    const auto closes = response.closes_ || draining_;
+    auto outgoing = formatResponse(std::move(response.httpResponse_), method, closes, std::move(response.rest_));
+    const auto written = writeResponse(connection.connection_, std::move(outgoing), settings_.writeTimeout_);
     if (written != TransferStatus::Done) {
         return ConnectionStep::Close;
     }
@@ -441,20 +465,55 @@
     if (connection.lingering_) {
         return lingerTimeout;
     }
+    if (connection.reader_) {
+        // Not shorter than the caller's own deadline, or it would abort uploads that are only slow.
+        return settings_.bodyTimeout_;
+    }
     const auto limits = currentLimits();
     return connection.headBegun_ ? limits.headTimeout_ : limits.idleTimeout_;
 }
 
-// Closes the connections whose timeout has expired, and with includeIdle also every one without unread input.
-auto CallerServer::State::closeExpired(absl::Time now, bool includeIdle) -> void
+auto CallerServer::State::isExpired(const CallerConnection &connection, absl::Time now) const -> bool
+{
+    return now - connection.waitingSince_ > timeoutOf(connection);
+}
+
+// Closes waiting connections and returns their number.
+auto CallerServer::State::closeIf(absl::FunctionRef<bool(const CallerConnection &)> condition) -> std::size_t
 {
+    auto closed = std::size_t { 0 };
     for (auto &shard : shards_) {
         const auto lock = absl::MutexLock(&shard.mutex_);
-        openConnections_ -= absl::erase_if(shard.waiting_, [&](const auto &item) {
-            const auto &connection = *item.second;
-            return now - connection.waitingSince_ > timeoutOf(connection) || (includeIdle && connection.connection_.isOpenAndIdle());
+        closed += absl::erase_if(shard.waiting_, [&](const auto &item) {
+            return condition(*item.second);
         });
     }
+    openConnections_ -= closed;
+    return closed;
+}
+
+// Closes the connections whose timeout has expired, and with includeIdle also every one without a request.
+auto CallerServer::State::closeExpired(absl::Time now, bool includeIdle) -> void
+{
+    closeIf([&](const CallerConnection &connection) {
+        return isExpired(connection, now) || (includeIdle && !connection.reader_ && connection.connection_.isOpenAndIdle());
+    });
+}
+
+// Callers that stop within their bodies would otherwise keep the memory from the others until the timeout of bodies.
+auto CallerServer::State::closeStalledBodies(absl::Time now) -> void
+{
+    const auto rejections = settings_.bodyMemory_ ? settings_.bodyMemory_->rejections() : 0;
+    if (std::exchange(lastRejections_, rejections) == rejections) {
+        return;
+    }
+    const auto closed = closeIf([&](const CallerConnection &connection) {
+        return connection.reader_ && now - connection.bodyProgressAt_ > settings_.stalledBodyTimeout_;
+    });
+    if (closed > 0) {
+        stalledBodies_ += static_cast<std::int64_t>(closed);
+        logLine(wallNow(), LogLevel::Warning, "stalled_bodies_closed", { { "count", std::to_string(closed) } });
+    }
 }
 
 auto CallerServer::State::checkTimeouts() -> void
@@ -467,6 +526,7 @@
         }
         before = now;
         closeExpired(now.at_, false);
+        closeStalledBodies(now.at_);
     }
 }
 
@@ -502,6 +562,11 @@
     return state_->unansweredRequests_;
 }
 
+auto CallerServer::counts() const -> CallerServerCounts
+{
+    return { state_->bodiesWithoutRoom_, state_->stalledBodies_, state_->connectionsBeyondLimit_, state_->listeners_.closedForDescriptors() };
+}
+
 auto CallerServer::stop() -> void
 {
     if (!state_->timeoutThread_.joinable() || state_->draining_.exchange(true)) {
@@ -509,10 +574,9 @@
     }
     // Connections in the backlog were already accepted by the kernel, so they are served.
     for (auto index = std::size_t { 0 }; index < state_->listeners_.size(); ++index) {
-        epoll_ctl(state_->epoll_, EPOLL_CTL_DEL, state_->listeners_[index], nullptr);
+        epoll_ctl(state_->epoll_, EPOLL_CTL_DEL, state_->listeners_.descriptor(index), nullptr);
         state_->acceptAll(index);
-        // The listener is shut down but not closed: threads may still accept from it, and the number of a closed descriptor may be reused for a connection.
-        ::shutdown(state_->listeners_[index], SHUT_RDWR);
+        state_->listeners_.shutDown(index);
     }
     const auto graceEnds = monotonicNow() + state_->settings_.stopGrace_;
     while (state_->openConnections_ > 0 && monotonicNow() < graceEnds) {
--- a/libraries/process/callerserver.h
+++ b/libraries/process/callerserver.h
@@ -1,17 +1,22 @@
 /** HTTP/1.1 server for callers: reads requests, passes each one to a handler and writes the response. */
 #pragma once
 
+#include "connection/responserest.h"
+#include "core/bytebudget.h"
 #include "core/error.h"
 #include "request/httpfields.h"
 #include "request/idempotencytable.h"
+#include "request/refusal.h"
 #include "version/trafficpolicy.h"
 
 #include <absl/time/time.h>
 #include <httplib.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +47,10 @@
     absl::Duration bodyTimeout_ = absl::Seconds(30);
     /** Largest size of a body, if CallerHandlers::respond_ is set. */
     std::size_t maximumBodyBytes_ = std::size_t { 64 } * 1024 * 1024;
+    /** Budget of request bodies if CallerHandlers::respond_ is set; no limit when null. */
+    ByteBudgetPointer bodyMemory_ = nullptr;
+    /** While the budget has no room for some body, those of which no byte has arrived for this long are given up. */
+    absl::Duration stalledBodyTimeout_ = absl::Seconds(2);
     absl::Duration writeTimeout_ = absl::Seconds(10);
     absl::Duration idleTimeout_ = absl::Seconds(60);
     /** How long idle connections stay open after stop was called, so that a request that is already on the network is served. */
@@ -70,6 +79,21 @@
     bool closes_ = false;
     /** Closes the connection without a response, since the caller has disconnected. */
     bool isAbandoned_ = false;
+    /** What follows the part of the body in the response. */
+    std::optional<ResponseRest> rest_ = std::nullopt;
+};
+
+/** What a server has turned away. */
+struct CallerServerCounts
+{
+    /** Requests that were refused because their bodies had no room. */
+    std::int64_t bodiesWithoutRoom_ = 0;
+    /** Connections that were closed because no byte of a body had arrived for long, while another one had no room. */
+    std::int64_t stalledBodies_ = 0;
+    /** Connections that were closed when they were accepted, since there were too many. */
+    std::int64_t connectionsBeyondLimit_ = 0;
+    /** Connections that were closed when they were accepted, since the process had no descriptor left. */
+    std::int64_t connectionsWithoutDescriptor_ = 0;
 };
 
 /** The functions that the server calls, concurrently and from any of its threads. */
@@ -82,8 +106,9 @@
     std::function<std::size_t(const httplib::Request &)> bodyLimit_;
     /** If set, responds to every request in place of the functions above. */
     std::function<CallerResponse(const ReceivedRequest &)> respond_ = nullptr;
-    /** Responds to a request on address_ that exceeds maximumRequests_. Must be set if respond_ is. */
-    std::function<CallerResponse(const ReceivedRequest &)> respondOverloaded_ = nullptr;
+    /** Refuses a request, as not run, that the server can't serve: one on address_ beyond maximumRequests_, or one without room for its body, which
+     * is then missing. Must be set if respond_ is. */
+    std::function<CallerResponse(const ReceivedRequest &, Refusal)> refuse_ = nullptr;
     /**
      * If set, gives the limits and timeouts in force: the timeouts replace readTimeout_ and idleTimeout_ for connections that wait for a request, and sizes
      * above maximumHeadBytes_ and maximumBodyBytes_ replace these.
@@ -92,8 +117,8 @@
 };
 
 /**
- * An HTTP/1.1 server. Idle connections wait in one epoll set; a connection occupies a thread only from a complete request head to the end of the
- * response. Header values and bodies reach the handlers exactly as they were sent.
+ * An HTTP/1.1 server. Idle connections wait in one epoll set; a connection occupies a thread only from a complete request to the end of the
+ * response (from a complete head, if CallerHandlers::respond_ is not set). Header values and bodies reach the handlers exactly as they were sent.
  */
 class CallerServer
 {
@@ -112,6 +137,9 @@
     /** Number of requests on address_ whose head has been read and whose response has not been written yet. */
     [[nodiscard]] auto unansweredRequests() const -> int;
 
+    /** Counts of what was turned away for lack of memory or descriptors. */
+    [[nodiscard]] auto counts() const -> CallerServerCounts;
+
     /** Stops accepting connections, finishes every request in flight, closes all connections and returns. Responses carry Connection: close. */
     auto stop() -> void;
 
--- a/libraries/process/dispatcher.cpp
+++ b/libraries/process/dispatcher.cpp
@@ -76,7 +76,7 @@
     const auto &content = request.content_;
     // The lengths keep different requests from having the same text.
     const auto head = fmt::format("{} {} {} {} {}\n", request.organisation_, content.method_, content.target_.size(), content.target_, content.body_.size());
-    return sha256Hex(head + content.body_);
+    return sha256Hex(head, content.body_);
 }
 
 auto appendMissing(std::vector<std::string> &names, const std::vector<std::string> &added) -> void
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "generated/Fleet.h"
 #include "process/backendsignalreport.h"
+#include "process/callerserverreport.h"
 #include "process/hostregistration.h"
 #include "process/quotareport.h"
 
@@ -37,8 +38,17 @@
 /** Fraction of the stop grace after which the process ends at the latest. */
 constexpr auto finishedFraction = 0.96;
 
+constexpr auto housekeepingInterval = absl::Seconds(1);
+
 constexpr auto stopPollInterval = absl::Milliseconds(20);
 
+/** Fraction of the process's memory for message bodies; the rest is for code, threads, connections and records. */
+constexpr auto bodyMemoryFraction = 0.65;
+
+/** Fraction of that for small bodies, which large ones leave free. A single body of 64 MB still fits beside it on the smallest hosts, of 112 MB. */
+constexpr auto smallBodyFraction = 0.1;
+constexpr auto largestSmallBody = std::size_t { 64 } * 1024;
+
 constexpr auto readyListener = std::size_t { 1 };
 constexpr auto lookupListener = std::size_t { 2 };
 constexpr auto metricsListener = std::size_t { 3 };
@@ -65,7 +75,7 @@
     return identity;
 }
 
-auto callerServerSettings(const FleetDaemonSettings &settings) -> CallerServerSettings
+auto callerServerSettings(const FleetDaemonSettings &settings, const ByteBudgetPointer &bodyMemory) -> CallerServerSettings
 {
     auto callers = CallerServerSettings {};
     callers.address_ = settings.callerAddress_;
@@ -73,11 +83,22 @@
     if (!settings.metricsAddress_.empty()) {
         callers.furtherAddresses_.push_back(settings.metricsAddress_);
     }
+    callers.bodyMemory_ = bodyMemory;
     callers.maximumRequests_ = settings.maximumRequests_;
     callers.maximumConnections_ = settings.maximumConnections_;
     return callers;
 }
 
+// Null if the memory is not known.
+auto makeBodyMemory(std::size_t memory) -> ByteBudgetPointer
+{
+    if (memory == 0) {
+        return nullptr;
+    }
+    const auto total = static_cast<std::size_t>(static_cast<double>(memory) * bodyMemoryFraction);
+    return std::make_shared<ByteBudget>(ByteBudgetLimits { total, largestSmallBody, static_cast<std::size_t>(static_cast<double>(total) * smallBodyFraction) });
+}
+
 /** Handles other hosts' Thrift calls. */
 class FleetPeerHandler : public fleet::FleetIf
 {
@@ -113,6 +134,7 @@
     , reloadable_(settings_.reloadable_)
     , adapter_(std::move(adapter))
     , identity_(identityOf(settings_))
+    , bodyMemory_(makeBodyMemory(settings_.memory_))
     , state_(settings_.zones_, settings_.zone_, adapter_.decoders_)
     , permits_(PermitExchangeServices { [this](absl::Time now, const std::string &zone, const std::string &backend) {
                                            return gossip_->permitIssuer(now, zone, backend);
@@ -160,7 +182,8 @@
                                              [this](absl::Time now, const PermitQuery &query, absl::Time deadline) {
                                                  return permits_.ask(now, query, deadline);
                                              },
-                                             settings_.memory_ })
+                                             bodyMemory_,
+                                             settings_.maximumIdleConnections_ })
     , replicator_(std::make_unique<RecordReplicator>(RecordReplicatorServices { adapter_.store_,
                                                                                 &state_,
                                                                                 settings_.name_,
@@ -210,15 +233,15 @@
                                                                 replicator_->notifyNewerPeer(peer);
                                                             } }))
     , peerServer_(settings_.peerAddress_, std::make_shared<fleet::FleetProcessor>(std::make_shared<FleetPeerHandler>(state_)))
-    , callerServer_(callerServerSettings(settings_),
+    , callerServer_(callerServerSettings(settings_, bodyMemory_),
                     CallerHandlers { nullptr,
                                      nullptr,
                                      nullptr,
                                      [this](const ReceivedRequest &request) {
                                          return response(request);
                                      },
-                                     [this](const ReceivedRequest &request) {
-                                         return requestHandler_.refuseOverloaded(request);
+                                     [this](const ReceivedRequest &request, Refusal refusal) {
+                                         return requestHandler_.refuseUnhandled(request, refusal);
                                      },
                                      [this] {
                                          return callerLimits();
@@ -226,7 +249,13 @@
 {
 }
 
-FleetDaemon::~FleetDaemon() = default;
+FleetDaemon::~FleetDaemon()
+{
+    housekeepingEnd_.Notify();
+    if (housekeepingThread_.joinable()) {
+        housekeepingThread_.join();
+    }
+}
 
 auto FleetDaemon::start() -> Result<void>
 {
@@ -241,6 +270,11 @@
     BOOST_LEAF_CHECK(peerServer_.start());
     BOOST_LEAF_CHECK(gossip_->start());
     replicator_->start();
+    housekeepingThread_ = std::thread([this] {
+        while (!housekeepingEnd_.WaitForNotificationWithTimeout(housekeepingInterval)) {
+            requestHandler_.cleanUp(monotonicNow());
+        }
+    });
     return {};
 }
 
@@ -350,6 +384,11 @@
           {},
           hasStoreResponse ? absl::ToDoubleSeconds(now - lastStoreResponseAt) : -1 },
         { "lycheecleat_requests_in_flight", "Requests being served", MetricKind::Gauge, {}, static_cast<double>(requestHandler_.inFlight()) },
+        { "lycheecleat_backend_connections_idle",
+          "Idle connections to backend servers",
+          MetricKind::Gauge,
+          {},
+          static_cast<double>(requestHandler_.idleConnections()) },
         { "lycheecleat_hosts_ready", "Entry hosts that lookups may name", MetricKind::Gauge, {}, static_cast<double>(gossip_->readyHosts(now).size()) },
         { "lycheecleat_share_holders",
           "Entry hosts among which quotas are split",
@@ -361,6 +400,9 @@
     for (auto &value : signalMetrics(requestHandler_.signalCounts())) {
         values.push_back(std::move(value));
     }
+    for (auto &value : callerServerMetrics(callerServer_.counts(), bodyMemory_)) {
+        values.push_back(std::move(value));
+    }
     for (auto &value : quotaMetrics(requestHandler_.quotaCounts())) {
         values.push_back(std::move(value));
     }
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -14,9 +14,12 @@
 #include "process/reloadablesettings.h"
 #include "request/callerprotocol.h"
 
+#include <absl/synchronization/notification.h>
+
 #include <atomic>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace lycheecleat
@@ -51,6 +54,8 @@
     /** Limit of requests served concurrently. */
     int maximumRequests_ = 256;
     std::size_t maximumConnections_ = 2000;
+    /** Limit of idle connections to backend servers; 0 for the default of the connection pool. */
+    std::size_t maximumIdleConnections_ = 0;
 
     auto operator==(const FleetDaemonSettings &other) const -> bool = default;
 };
@@ -109,6 +114,7 @@
     std::atomic<bool> isStopping_ = false;
     /** Monotonic time at which waits for backend servers end, in milliseconds; 0 while the process is not to end. */
     std::atomic<std::int64_t> endsAtMillis_ = 0;
+    const ByteBudgetPointer bodyMemory_;
     FleetState state_;
     PermitExchange permits_;
     QuotaExchange quotas_;
@@ -117,6 +123,8 @@
     std::unique_ptr<HostGossip> gossip_;
     PeerServer peerServer_;
     CallerServer callerServer_;
+    absl::Notification housekeepingEnd_;
+    std::thread housekeepingThread_;
 };
 
 }
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -38,16 +38,13 @@
 constexpr auto idleLimit = absl::Seconds(6);
 constexpr auto nonRepeatableIdleLimit = absl::Seconds(3);
 
-/** Response bodies that are being read may take up the process's memory divided by this. A growing body may take twice its size. */
-constexpr auto responseMemoryDivisor = std::size_t { 4 };
-
-/** Number of responses of the largest size that may be read at once. */
-constexpr auto largestResponsesInMemory = std::size_t { 4 };
+/** A response of up to this part of the memory for bodies is held until it is complete, so that the request can be sent again if it is cut. */
+constexpr auto heldResponseDivisor = std::size_t { 16 };
 
 constexpr auto firstServerError = 500;
 constexpr auto misdirectedStatus = 421;
 
-auto poolSettings(const CallerProtocol &protocol, std::size_t memory, int endDescriptor) -> BackendPoolSettings
+auto poolSettings(const FleetRequestServices &services, int endDescriptor) -> BackendPoolSettings
 {
     auto settings = BackendPoolSettings {};
     settings.endDescriptor_ = endDescriptor;
@@ -55,10 +52,14 @@
     settings.idleLimit_ = idleLimit;
     settings.nonRepeatableIdleLimit_ = nonRepeatableIdleLimit;
     settings.acceptsUndelimited_ = true;
-    if (memory > 0) {
-        settings.responseMemory_ = memory / responseMemoryDivisor;
-        settings.maximumResponseBody_ = settings.responseMemory_ / largestResponsesInMemory;
+    if (services.bodyMemory_) {
+        settings.bodyMemory_ = services.bodyMemory_;
+        settings.heldResponseBody_ = services.bodyMemory_->limits().total_ / heldResponseDivisor;
+    }
+    if (services.maximumIdleConnections_ > 0) {
+        settings.maximumIdle_ = services.maximumIdleConnections_;
     }
+    const auto &protocol = services.protocol_;
     settings.headers_ = { protocol.timeoutMillis_, protocol.organisation_, protocol.expectedInstance_, protocol.requestId_ };
     return settings;
 }
@@ -81,6 +82,19 @@
     return report;
 }
 
+// The line of the request has been logged by the time at which the rest of its response is passed on.
+auto loggingCut(ResponseRest rest, const std::string &requestId, const std::string &backend) -> ResponseRest
+{
+    auto next = [receive = std::move(rest.next_), requestId, backend] {
+        auto part = receive();
+        if (part.end_ == BodyPartEnd::Cut) {
+            logLine(wallNow(), LogLevel::Warning, "response_cut", { { "request", requestId }, { "backend", backend } });
+        }
+        return part;
+    };
+    return { rest.length_, std::move(next) };
+}
+
 }
 
 // Identifies a request by its organisation and content. A request that is sent again has the same fingerprint, on every host.
@@ -89,13 +103,13 @@
     const auto &content = state.received_.content_;
     const auto organisation = state.organisation_ == nullptr ? std::string {} : state.organisation_->limits_.name_;
     // The lengths keep different requests from having the same text.
-    return sha256Hex(fmt::format("{} {} {} {}\n{}", organisation, content.method_, content.target_.size(), content.target_, content.body_));
+    return sha256Hex(fmt::format("{} {} {} {}\n", organisation, content.method_, content.target_.size(), content.target_), content.body_);
 }
 
 FleetRequestHandler::FleetRequestHandler(FleetRequestServices services)
     : services_(std::move(services))
     , endDescriptor_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
-    , pool_(poolSettings(services_.protocol_, services_.memory_, endDescriptor_))
+    , pool_(poolSettings(services_, endDescriptor_))
     , quotas_(services_.hostName_, monotonicNow())
     , crashes_(maximumCrashRecords)
 {
@@ -124,11 +138,11 @@
     return response;
 }
 
-auto FleetRequestHandler::refuseOverloaded(const ReceivedRequest &request) -> CallerResponse
+auto FleetRequestHandler::refuseUnhandled(const ReceivedRequest &request, Refusal refusal) -> CallerResponse
 {
     auto state = RequestState { request, headerValue(request.content_.headers_, services_.protocol_.requestId_), services_.state_->view(), nullptr };
     state.policy_ = state.view_->policy_;
-    return refuse(state, Refusal::Overloaded);
+    return refuse(state, refusal);
 }
 
 auto FleetRequestHandler::explain(const ExplainRequest &explainRequest) -> RoutingExplanation
@@ -215,8 +229,9 @@
     state.triedAddresses_.push_back(server.address_);
     state.tried_.push_back(server.name_);
     state.sentAt_ = monotonicNow();
-    call.expectedInstance_ = server.name_;
+    call.peer_ = { server.name_, state.choice_.backend_->registration_.incarnation_ };
     call.requestId_ = state.requestId_;
+    call.acceptsPart_ = true;
     call.maySend_ = [&] {
         const auto now = monotonicNow();
         return selector_.maySend(now, state.choice_) && !hasExpiredAdmission(state, now);
@@ -251,7 +266,7 @@
     }
     state.attempts_ += 1;
     if (exchange.status_ == ExchangeStatus::Complete) {
-        return evaluateResponse(state, std::move(exchange.response_));
+        return evaluateResponse(state, std::move(exchange));
     }
     state.mayHaveRun_ = true;
     if (exchange.status_ == ExchangeStatus::Abandoned) {
@@ -271,8 +286,9 @@
     return state.route_->repeatability_ != Repeatability::Repeatable || !maySendAgain(state);
 }
 
-auto FleetRequestHandler::evaluateResponse(RequestState &state, HttpResponse response) -> bool
+auto FleetRequestHandler::evaluateResponse(RequestState &state, BackendExchange exchange) -> bool
 {
+    auto &response = exchange.response_;
     const auto now = monotonicNow();
     const auto &backend = *state.choice_.backend_;
     const auto load = parseLoadReport(response, services_.protocol_.load_);
@@ -288,6 +304,7 @@
     const auto isFailure = response.status_ >= firstServerError;
     selector_.end(now, backend, { isFailure ? ExchangeOutcome::Failed : ExchangeOutcome::Responded, load, now - state.sentAt_ }, state.writtenAt_);
     state.response_ = std::move(response);
+    state.rest_ = std::move(exchange.rest_);
     return !isFailure || state.route_->repeatability_ != Repeatability::Repeatable || !maySendAgain(state);
 }
 
@@ -354,6 +371,9 @@
     log(state, state.response_->status_, "");
     auto result = CallerResponse {};
     result.httpResponse_ = std::move(*state.response_);
+    if (state.rest_) {
+        result.rest_ = loggingCut(std::move(*state.rest_), state.requestId_, state.choice_.backend_->registration_.server_.name_);
+    }
     result.closes_ = services_.isStopping_();
     return result;
 }
@@ -428,6 +448,26 @@
     crashes_.record(now, record);
 }
 
+auto FleetRequestHandler::cleanUp(absl::Time now) -> void
+{
+    const auto view = services_.state_->view();
+    auto peers = absl::flat_hash_map<std::string_view, const DiscoveredBackend *> {};
+    for (const auto &[service, backends] : view->backends_) {
+        for (const auto &backend : backends) {
+            peers.emplace(backend.registration_.server_.address_, &backend.registration_);
+        }
+    }
+    pool_.closeUnused(now, [&](const std::string &address, const ConnectionPeer &peer) {
+        const auto found = peers.find(address);
+        return found != peers.end() && peer == ConnectionPeer { found->second->server_.name_, found->second->incarnation_ };
+    });
+}
+
+auto FleetRequestHandler::idleConnections() const -> std::size_t
+{
+    return pool_.idleCount();
+}
+
 auto FleetRequestHandler::inFlight() const -> int
 {
     return inFlight_;
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -57,8 +57,10 @@
     AskHolderFunction askHolder_ = nullptr;
     /** Asks for a permit for a backend server with a limit; none without an answer by the deadline. Blocks. */
     std::function<std::optional<PermitAnswer>(absl::Time, const PermitQuery &, absl::Time deadline)> askForPermit_ = nullptr;
-    /** Memory that the process may use, in bytes; 0 when it is not known. */
-    std::size_t memory_ = 0;
+    /** Budget of message bodies; null for the default of connections to backend servers. */
+    ByteBudgetPointer bodyMemory_ = nullptr;
+    /** Limit of idle connections to backend servers; 0 for the default of the connection pool. */
+    std::size_t maximumIdleConnections_ = 0;
 };
 
 /** Handles requests: route, organisation, quota, choice of backend server, sending, and the response. Thread-safe. */
@@ -76,8 +78,8 @@
     /** Ends all waits for backend servers as at the deadlines of their requests, so that the callers get responses before the process ends. */
     auto endWaits() -> void;
 
-    /** Refuses one request, as not run, because this host is overloaded. */
-    [[nodiscard]] auto refuseOverloaded(const ReceivedRequest &request) -> CallerResponse;
+    /** Refuses one request, as not run, before it is handled. */
+    [[nodiscard]] auto refuseUnhandled(const ReceivedRequest &request, Refusal refusal) -> CallerResponse;
 
     /** Returns where a request would be sent, without sending it. */
     [[nodiscard]] auto explain(const ExplainRequest &explainRequest) -> RoutingExplanation;
@@ -99,6 +101,12 @@
     /** Counts of admissions between hosts. */
     [[nodiscard]] auto quotaCounts() const -> QuotaCounts;
 
+    /** Closes connections to backend servers that are not needed any more. To be called from time to time. */
+    auto cleanUp(absl::Time now) -> void;
+
+    /** Number of idle connections to backend servers. */
+    [[nodiscard]] auto idleConnections() const -> std::size_t;
+
     /** Number of requests being handled. */
     [[nodiscard]] auto inFlight() const -> int;
 
@@ -131,7 +139,7 @@
     [[nodiscard]] auto coldRateLimits(const RequestState &state) const -> ColdRateLimitFunction;
     auto sendAttempt(RequestState &state) -> BackendExchange;
     auto evaluateExchange(RequestState &state, BackendExchange exchange) -> bool;
-    auto evaluateResponse(RequestState &state, HttpResponse response) -> bool;
+    auto evaluateResponse(RequestState &state, BackendExchange exchange) -> bool;
     auto maySendAgain(RequestState &state) -> bool;
     auto recordCrash(RequestState &state) -> void;
     static auto fingerprintOf(const RequestState &state) -> std::string;
--- a/libraries/process/fleetrequeststate.h
+++ b/libraries/process/fleetrequeststate.h
@@ -42,6 +42,8 @@
     bool mayHaveRun_ = false;
     /** The newest response; passed on unless a further attempt replaces it. */
     std::optional<HttpResponse> response_ = std::nullopt;
+    /** What follows the body of that response. */
+    std::optional<ResponseRest> rest_ = std::nullopt;
     Refusal refusal_ = Refusal::NoCapacity;
     /** When the backend servers return; set when the request waits or is refused. */
     BackendReturn return_ = {};
--- a/libraries/process/healthpoller.cpp
+++ b/libraries/process/healthpoller.cpp
@@ -35,7 +35,7 @@
     if (exchange.status_ != ExchangeStatus::Complete) {
         return std::nullopt;
     }
-    const auto body = nlohmann::json::parse(exchange.response_.body_, nullptr, false);
+    const auto body = nlohmann::json::parse(exchange.response_.body_.text(), nullptr, false);
     auto report = HealthReport {};
     report.closing_ = exchange.closing_;
     if (body.is_object() && body.contains("status")) {
--- a/libraries/process/requesthandler.cpp
+++ b/libraries/process/requesthandler.cpp
@@ -119,7 +119,7 @@
 auto digestOf(const RequestContent &content) -> std::string
 {
     // The lengths keep different requests from having the same text.
-    return sha256Hex(fmt::format("{} {} {} {}\n", content.method_, content.target_.size(), content.target_, content.body_.size()) + content.body_);
+    return sha256Hex(fmt::format("{} {} {} {}\n", content.method_, content.target_.size(), content.target_, content.body_.size()), content.body_);
 }
 
 // The result of a request whose idempotency key could not be claimed; none when the request may run.
--- a/libraries/process/requestmessages.cpp
+++ b/libraries/process/requestmessages.cpp
@@ -58,7 +58,7 @@
     request.run = run;
     request.method = content.method_;
     request.target = content.target_;
-    request.body = content.body_;
+    request.body = content.body_.text();
     request.timeoutMicros = absl::ToInt64Microseconds(remaining);
     for (const auto &header : content.headers_) {
         request.headers.push_back(toMessage(header));
@@ -70,7 +70,7 @@
 {
     auto forwarded = peer::ForwardedAnswer {};
     forwarded.status = response.status_;
-    forwarded.body = std::move(response.body_);
+    forwarded.body = response.body_.text();
     for (auto &header : response.headers_) {
         forwarded.headers.push_back(toMessage(std::move(header)));
     }
@@ -126,7 +126,7 @@
     for (auto &header : httpResponse.headers_) {
         response.headers.emplace(std::move(header.name_), std::move(header.value_));
     }
-    response.body = std::move(httpResponse.body_);
+    response.body = httpResponse.body_.text();
 }
 
 auto setRefusal(httplib::Response &response, Refusal refusal, Outcome outcome, const std::string &requestId) -> void
--- a/libraries/process/retryafter.cpp
+++ b/libraries/process/retryafter.cpp
@@ -30,6 +30,7 @@
     case Refusal::NoCapacity:
     case Refusal::BackendUnreachable:
     case Refusal::Overloaded:
+    case Refusal::NoMemory:
         return "0.3";
     case Refusal::NoConfiguration:
         return "0.5";
--- a/libraries/request/claimrecord.cpp
+++ b/libraries/request/claimrecord.cpp
@@ -60,7 +60,7 @@
     for (const auto &header : response.headers_) {
         headers.push_back({ header.name_, base64Encoded(header.value_) });
     }
-    return { { "status", response.status_ }, { "headers", std::move(headers) }, { "body", base64Encoded(response.body_) } };
+    return { { "status", response.status_ }, { "headers", std::move(headers) }, { "body", base64Encoded(response.body_.text()) } };
 }
 
 auto responseFrom(const Json &value) -> HttpResponse
--- a/libraries/request/credentials.cpp
+++ b/libraries/request/credentials.cpp
@@ -148,7 +148,7 @@
 
 auto matchesAnywhere(const RequestContent &content, const TextPredicate &predicate) -> bool
 {
-    if (matchesDecoded(content.method_, predicate) || matchesDecoded(content.target_, predicate) || matchesDecoded(content.body_, predicate)) {
+    if (matchesDecoded(content.method_, predicate) || matchesDecoded(content.target_, predicate) || matchesDecoded(content.body_.text(), predicate)) {
         return true;
     }
     return std::any_of(content.headers_.begin(), content.headers_.end(), [&](const HeaderField &header) {
--- a/libraries/request/httpfields.h
+++ b/libraries/request/httpfields.h
@@ -1,6 +1,8 @@
 /** HTTP header fields and request targets as text. */
 #pragma once
 
+#include "core/messagebody.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,7 +29,7 @@
     /** Path and query as sent by the caller. */
     std::string target_;
     HeaderFields headers_;
-    std::string body_;
+    MessageBody body_;
 
     auto operator==(const RequestContent &other) const -> bool = default;
 };
--- a/libraries/request/idempotencytable.h
+++ b/libraries/request/idempotencytable.h
@@ -19,7 +19,7 @@
 {
     int status_ = 0;
     HeaderFields headers_;
-    std::string body_;
+    MessageBody body_;
 
     auto operator==(const HttpResponse &other) const -> bool = default;
 };
--- a/libraries/request/refusal.cpp
+++ b/libraries/request/refusal.cpp
@@ -37,6 +37,7 @@
     RefusalDescription { Refusal::BodyTooLarge, "body_too_large", 413, Outcome::NotRun, "The request body is larger than the route allows." },
     RefusalDescription { Refusal::MalformedRequest, "malformed_request", 400, Outcome::NotRun, "The request is not valid HTTP/1.1." },
     RefusalDescription { Refusal::Overloaded, "overloaded", 503, Outcome::NotRun, "This host has too many requests in flight." },
+    RefusalDescription { Refusal::NoMemory, "no_memory", 503, Outcome::NotRun, "This host has no memory for the request body." },
     RefusalDescription { Refusal::Stopping, "stopping", 503, Outcome::NotRun, "This host is stopping; use another host." },
     RefusalDescription { Refusal::NoConfiguration, "no_configuration", 503, Outcome::NotRun, "This host has no configuration yet." },
     RefusalDescription { Refusal::BackendUnreachable, "backend_unreachable", 503, Outcome::NotRun, "No connection to a backend server could be opened." },
--- a/libraries/request/refusal.h
+++ b/libraries/request/refusal.h
@@ -39,6 +39,7 @@
     BodyTooLarge,
     MalformedRequest,
     Overloaded,
+    NoMemory,
     Stopping,
     NoConfiguration,
     BackendUnreachable,
--- a/libraries/request/refusaltest.cpp
+++ b/libraries/request/refusaltest.cpp
@@ -10,7 +10,7 @@
 // Guards against a description at the index of another refusal, which could report a failure of unknown outcome as not run.
 TEST_CASE("every refusal has its own description")
 {
-    for (auto index = 0; index <= static_cast<int>(Refusal::ClaimedElsewhere); ++index) {
+    for (auto index = 0; index <= static_cast<int>(Refusal::CallerLeft); ++index) {
         const auto refusal = static_cast<Refusal>(index);
         const auto &description = describeRefusal(refusal);
         CAPTURE(description.name_);
--- a/services/lycheecleatd/main.cpp
+++ b/services/lycheecleatd/main.cpp
@@ -36,7 +36,10 @@
 constexpr auto exitInvalidSettings = 2;
 
 /** Size in bytes from which allocations are mapped, so that freeing them returns the memory to the system instead of to the thread's arena. */
-constexpr auto mmapThreshold = 256 * 1024;
+constexpr auto mmapThreshold = 64 * 1024;
+
+/** Arenas of the allocator. Each keeps what was freed in it from the others, and the hosts have one core or less. */
+constexpr auto maximumArenas = 2;
 
 /** Interval at which the settings file is checked for changes, in case no signal is sent. */
 constexpr auto settingsPollSeconds = 5;
@@ -171,6 +174,7 @@
     // Debian's build of Abseil checks for lock cycles on each lock, which slows down every request.
     absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     mallopt(M_MMAP_THRESHOLD, mmapThreshold);
+    mallopt(M_ARENA_MAX, maximumArenas);
     if (arguments.at("--platform").asBool()) {
         return runOnPlatform();
     }
