Wait for the stalled callers in the test of incomplete bodies

Cause: the test counted unanswered requests right after their bytes had been written, before the server had read them (19 of 20, once). Change: it waits until the server has read them, and its timeout of bodies is longer than any wait of the tests.

--- a/libraries/process/callerserverbodytest.cpp
+++ b/libraries/process/callerserverbodytest.cpp
@@ -28,7 +28,7 @@
     settings.maximumRequests_ = maximumRequests;
     settings.bodyMemory_ = budget;
     settings.stalledBodyTimeout_ = absl::Milliseconds(100);
-    settings.bodyTimeout_ = absl::Seconds(1);
+    settings.bodyTimeout_ = absl::Seconds(20);
     settings.stopGrace_ = absl::Milliseconds(50);
     return settings;
 }
@@ -90,9 +90,13 @@
         stalled.push_back(connectTo(server));
         REQUIRE(stalled.back().write(postOf(10) + "123456789", monotonicNow() + absl::Seconds(5)) == TransferStatus::Done);
     }
+    const auto deadline = monotonicNow() + absl::Seconds(5);
+    while (server.unansweredRequests() < stalledCallers && monotonicNow() < deadline) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    CHECK(server.unansweredRequests() == stalledCallers);
     auto connection = connectTo(server);
     CHECK(replyTo(connection, postOf(3) + "abc").response_ == HttpResponse { okStatus, { { "Content-Length", "1" } }, "3" });
-    CHECK(server.unansweredRequests() == stalledCallers);
     CHECK(replyTo(stalled.front(), "0").response_.body_ == "10");
     CHECK(server.unansweredRequests() == stalledCallers - 1);
 }
