Read load reports with a fourth figure

Cause: parseLoadReport took exactly three figures, so that every report of servers that add a fourth was dropped without a trace. Change: request/loadreport reads three or four figures and checks their ranges; the fourth (how long work takes at the moment) is checked only, since it changes many times between two reports that one host gets from a server. Bad reports are counted (lycheecleat_load_reports_ignored_total). Measured: loadreporttest, 16 rows.

--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -393,6 +393,8 @@
           MetricKind::Gauge,
           {},
           static_cast<double>(requestHandler_.idleConnections()) },
+        counterValue(
+            "lycheecleat_load_reports_ignored_total", "Load reports of backend servers that could not be used", {}, requestHandler_.loadReportsIgnored()),
         { "lycheecleat_hosts_ready", "Entry hosts that lookups may name", MetricKind::Gauge, {}, static_cast<double>(gossip_->readyHosts(now).size()) },
         { "lycheecleat_share_holders",
           "Entry hosts among which quotas are split",
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -7,9 +7,7 @@
 #include "process/retryafter.h"
 #include "request/backendranking.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
-#include <absl/strings/str_split.h>
 #include <fmt/format.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -69,19 +67,6 @@
     return fmt::format("{:.1f}", absl::ToDoubleMilliseconds(duration));
 }
 
-auto parseLoadReport(const HttpResponse &response, const std::string &header) -> std::optional<LoadReport>
-{
-    const auto value = headerValue(response.headers_, header);
-    const auto parts = std::vector<std::string>(absl::StrSplit(value, ','));
-    auto report = LoadReport {};
-    constexpr auto partCount = 3;
-    if (parts.size() != partCount || !absl::SimpleAtoi(parts[0], &report.running_) || !absl::SimpleAtoi(parts[1], &report.waiting_)
-        || !absl::SimpleAtoi(parts[2], &report.slots_)) {
-        return std::nullopt;
-    }
-    return report;
-}
-
 // The line of the request has been logged by the time at which the rest of its response is passed on.
 auto loggingCut(ResponseRest rest, const std::string &requestId, const std::string &backend) -> ResponseRest
 {
@@ -291,7 +276,9 @@
     auto &response = exchange.response_;
     const auto now = monotonicNow();
     const auto &backend = *state.choice_.backend_;
-    const auto load = parseLoadReport(response, services_.protocol_.load_);
+    const auto report = headerValue(response.headers_, services_.protocol_.load_);
+    const auto load = parseLoadReport(report);
+    loadReportsIgnored_ += !load && !report.empty() ? 1 : 0;
     const auto isNotRun = response.status_ == misdirectedStatus || headerCount(response.headers_, services_.protocol_.notRun_) > 0;
     if (isNotRun) {
         selector_.end(
@@ -474,6 +461,11 @@
     return pool_.idleCount();
 }
 
+auto FleetRequestHandler::loadReportsIgnored() const -> std::int64_t
+{
+    return loadReportsIgnored_;
+}
+
 auto FleetRequestHandler::inFlight() const -> int
 {
     return inFlight_;
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -110,6 +110,9 @@
     /** Number of idle connections to backend servers. */
     [[nodiscard]] auto idleConnections() const -> std::size_t;
 
+    /** Number of responses whose load report could not be used. */
+    [[nodiscard]] auto loadReportsIgnored() const -> std::int64_t;
+
     /** Number of requests being handled. */
     [[nodiscard]] auto inFlight() const -> int;
 
@@ -167,6 +170,7 @@
     mutable absl::Mutex mutex_;
     CrashSuspectTable crashes_ ABSL_GUARDED_BY(mutex_);
     std::atomic<int> inFlight_ = 0;
+    std::atomic<std::int64_t> loadReportsIgnored_ = 0;
 };
 
 }
--- a/libraries/request/backendcondition.h
+++ b/libraries/request/backendcondition.h
@@ -3,6 +3,7 @@
 
 #include "request/backendlimit.h"
 #include "request/backendsignals.h"
+#include "request/loadreport.h"
 
 #include <absl/time/time.h>
 
@@ -14,16 +15,6 @@
 namespace lycheecleat
 {
 
-/** Load that a backend server reports about itself, in requests; slots_ is the number of requests that it runs at a time. */
-struct LoadReport
-{
-    int running_ = 0;
-    int waiting_ = 0;
-    int slots_ = 0;
-
-    auto operator==(const LoadReport &other) const -> bool = default;
-};
-
 /** Outcome of an exchange with a backend server, as used for outlier ejection. */
 enum class ExchangeOutcome {
     /** A complete response that doesn't indicate a fault of the server, whatever its status code. */
