--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -197,10 +197,6 @@
                                                                                 },
                                                                                 [this](absl::Time now) {
                                                                                     gossip_->announceStoreLoss(now);
-                                                                                },
-                                                                                &requestHandler_.quotas().announcements(),
-                                                                                [this](const OrganisationNames &organisations) {
-                                                                                    requestHandler_.quotas().setEarlierAnnouncement(organisations);
                                                                                 } }))
     , gossip_(std::make_unique<HostGossip>(GossipServices { identity_,
                                                             settings_.gossipSeeds_,
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -435,14 +435,8 @@
     crashes_.record(now, record);
 }
 
-auto FleetRequestHandler::quotas() -> OrganisationQuotas &
-{
-    return quotas_;
-}
-
 auto FleetRequestHandler::cleanUp(absl::Time now) -> void
 {
-    quotas_.endAnnouncements(now, services_.settings_().quota_.window_);
     const auto view = services_.state_->view();
     auto peers = absl::flat_hash_map<std::string_view, const DiscoveredBackend *> {};
     for (const auto &[service, backends] : view->backends_) {
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -101,12 +101,9 @@
     /** Counts of admissions between hosts. */
     [[nodiscard]] auto quotaCounts() const -> QuotaCounts;
 
-    /** Closes connections to backend servers that are not needed any more, and ends announcements. To be called from time to time. */
+    /** Closes connections to backend servers that are not needed any more. To be called from time to time. */
     auto cleanUp(absl::Time now) -> void;
 
-    /** This host's parts of the organisations' quotas. */
-    [[nodiscard]] auto quotas() -> OrganisationQuotas &;
-
     /** Number of idle connections to backend servers. */
     [[nodiscard]] auto idleConnections() const -> std::size_t;
 
--- a/libraries/process/organisationquotas.cpp
+++ b/libraries/process/organisationquotas.cpp
@@ -145,53 +145,7 @@
     auto &shard = shardOf(query.limits_.name_);
     const auto lock = absl::MutexLock(&shard.mutex_);
     auto &state = updatedState(now, query, shard);
-    auto part = state.part_;
-    if (part.since_ == startedAt_ && wasAnnounced(query.limits_.name_)) {
-        part.growth_ = PartGrowth::AfterWindow;
-    }
-    const auto decision = admit(state.window_, now, part, query.settings_.window_);
-    if (!state.isAnnouncing_ && part.limit_ > 0 && decision.used_ >= announcedFrom(part.limit_)) {
-        state.isAnnouncing_ = true;
-        announcements_.add(query.limits_.name_);
-    }
-    return decision;
-}
-
-auto OrganisationQuotas::wasAnnounced(const std::string &organisation) const -> bool
-{
-    const auto lock = absl::ReaderMutexLock(&earlierMutex_);
-    return earlier_.count(organisation) > 0;
-}
-
-// The next process may start before the requests that the earlier one admitted are out of the window, so what that had announced is announced again.
-auto OrganisationQuotas::setEarlierAnnouncement(const OrganisationNames &organisations) -> void
-{
-    for (const auto &organisation : organisations) {
-        announcements_.add(organisation);
-    }
-    const auto lock = absl::MutexLock(&earlierMutex_);
-    earlier_ = organisations;
-}
-
-auto OrganisationQuotas::announcements() -> QuotaAnnouncements &
-{
-    return announcements_;
-}
-
-auto OrganisationQuotas::endAnnouncements(absl::Time now, absl::Duration window) -> void
-{
-    if (now - startedAt_ < window * 2) {
-        return;
-    }
-    for (const auto &organisation : announcements_.wanted()) {
-        auto &shard = shardOf(organisation);
-        const auto lock = absl::MutexLock(&shard.mutex_);
-        auto &state = shard.organisations_[organisation];
-        if (usedIn(state.window_, now, window) <= announcedFrom(state.part_.limit_) / 2) {
-            state.isAnnouncing_ = false;
-            announcements_.remove(organisation);
-        }
-    }
+    return admit(state.window_, now, state.part_, query.settings_.window_);
 }
 
 auto OrganisationQuotas::askable(absl::Time now, const std::string &organisation) -> std::vector<QuotaHolder>
--- a/libraries/process/organisationquotas.h
+++ b/libraries/process/organisationquotas.h
@@ -1,7 +1,6 @@
 /** This host's parts of the organisations' rate limits, and admission by the hosts that hold the other parts. */
 #pragma once
 
-#include "process/quotaannouncements.h"
 #include "request/quotapartition.h"
 #include "request/windowquota.h"
 
@@ -99,15 +98,6 @@
 
     [[nodiscard]] auto counts() const -> QuotaCounts;
 
-    /** What this host's earlier process had announced when it ended. */
-    auto setEarlierAnnouncement(const OrganisationNames &organisations) -> void;
-
-    /** The organisations that use much of this host's parts. */
-    [[nodiscard]] auto announcements() -> QuotaAnnouncements &;
-
-    /** Ends the announcements of organisations that use little again. To be called from time to time. */
-    auto endAnnouncements(absl::Time now, absl::Duration window) -> void;
-
 private:
     using Holders = std::shared_ptr<const std::vector<QuotaHolder>>;
 
@@ -126,7 +116,6 @@
         /** This host's part; held since it was last none. */
         HeldPart part_;
         WindowQuota window_;
-        bool isAnnouncing_ = false;
         /** The holders to ask, nearest first, and those of them that admitted no request or did not respond. */
         Holders others_;
         absl::flat_hash_map<std::uint64_t, HolderPause> pauses_;
@@ -147,8 +136,6 @@
     /** The organisation's state, with parts for the hosts and the limit of the query. */
     auto updatedState(absl::Time now, const QuotaQuery &query, Shard &shard) const -> OrganisationState &;
     auto admitOwn(absl::Time now, const QuotaQuery &query) -> QuotaDecision;
-    /** Whether the earlier process of this host had announced that an organisation used much. */
-    [[nodiscard]] auto wasAnnounced(const std::string &organisation) const -> bool;
     /** The holders that may be asked now, in this order: those that have not failed lately, the nearest first, and then the others. */
     auto askable(absl::Time now, const std::string &organisation) -> std::vector<QuotaHolder>;
     /** Records whether any of the holders that were asked for a request admitted it. */
@@ -158,9 +145,6 @@
     const std::uint64_t self_;
     const absl::Time startedAt_;
     std::array<Shard, shardCount> shards_;
-    mutable absl::Mutex earlierMutex_;
-    OrganisationNames earlier_ ABSL_GUARDED_BY(earlierMutex_);
-    QuotaAnnouncements announcements_;
     absl::Mutex remoteMutex_;
     /** Questions to other regions that may be asked now (token bucket). */
     double remoteQuestions_ ABSL_GUARDED_BY(remoteMutex_) = 0;
--- a/libraries/process/recordreplicator.cpp
+++ b/libraries/process/recordreplicator.cpp
@@ -45,12 +45,6 @@
 constexpr auto renewalsPerLifetime = 3;
 constexpr auto registrationRetry = absl::Milliseconds(500);
 
-constexpr auto announcementPoll = absl::Seconds(1);
-constexpr auto announcementRetry = absl::Milliseconds(100);
-
-/** Pause after an announcement, so that organisations in quick succession are announced by one call. */
-constexpr auto announcementPause = absl::Milliseconds(100);
-
 // How long a host that does not watch the store waits for the records of a new era from its peers. The delays of the hosts differ, so that they do not all
 // read the store at once.
 auto eraReadDelay(const std::string &hostName) -> absl::Duration
@@ -85,9 +79,6 @@
     threads_.emplace_back([this] {
         runRegistration();
     });
-    threads_.emplace_back([this] {
-        runAnnouncements();
-    });
     threads_.emplace_back([this] {
         runPeerFetch();
     });
@@ -210,57 +201,6 @@
     }
 }
 
-auto RecordReplicator::readEarlierAnnouncement() -> bool
-{
-    const auto read = attempt([&] {
-        return services_.store_.readAnnouncement_(services_.hostName_);
-    });
-    if (const auto *error = std::get_if<Error>(&read)) {
-        logFailure("announcement_unread", *error);
-        return false;
-    }
-    const auto &value = std::get<std::optional<std::string>>(read);
-    const auto organisations = value ? decodeAnnouncement(*value) : std::nullopt;
-    logLine(wallNow(),
-            LogLevel::Info,
-            "earlier_announcement",
-            { { "found", organisations ? "true" : "false" }, { "organisations", organisations ? fmt::format("{}", organisations->size()) : "" } });
-    if (organisations) {
-        services_.onEarlierAnnouncement_(*organisations);
-    }
-    return true;
-}
-
-// The part of a quota beyond what need not be announced waits for this, so that additions are written at once.
-auto RecordReplicator::runAnnouncements() -> void
-{
-    while (!stopping_.HasBeenNotified()) {
-        const auto organisations = services_.announcements_->awaitAddition(announcementPoll);
-        auto lease = std::optional<HostLease> {};
-        {
-            const auto lock = absl::MutexLock(&mutex_);
-            lease = lease_;
-        }
-        if (!organisations) {
-            continue;
-        }
-        if (!lease) {
-            stopping_.WaitForNotificationWithTimeout(announcementRetry);
-            continue;
-        }
-        const auto announced = attempt([&] {
-            return services_.store_.announce_(services_.hostName_, encodeAnnouncement(*organisations), *lease);
-        });
-        if (const auto *error = std::get_if<Error>(&announced)) {
-            logFailure("announcement_failed", *error);
-            stopping_.WaitForNotificationWithTimeout(announcementRetry);
-            continue;
-        }
-        services_.announcements_->announced(*organisations);
-        stopping_.WaitForNotificationWithTimeout(announcementPause);
-    }
-}
-
 // On a host that does not watch the store, only these calls show whether the store is reachable.
 auto RecordReplicator::registerOrRenew() -> absl::Duration
 {
@@ -270,21 +210,14 @@
         lease = lease_;
     }
     if (!lease) {
-        // The registration replaces the announcement of the earlier process.
-        hasReadAnnouncement_ = hasReadAnnouncement_ || readEarlierAnnouncement();
-        if (!hasReadAnnouncement_) {
-            return registrationRetry;
-        }
-        const auto organisations = services_.announcements_->wanted();
         const auto registered = attempt([&] {
-            return services_.store_.registerHost_(services_.hostName_, services_.registration_, encodeAnnouncement(organisations));
+            return services_.store_.registerHost_(services_.hostName_, services_.registration_);
         });
         if (const auto *error = std::get_if<Error>(&registered)) {
             logFailure("registration_failed", *error);
             return registrationRetry;
         }
         services_.state_->updateStoreContact(monotonicNow(), true);
-        services_.announcements_->announced(organisations);
         const auto lock = absl::MutexLock(&mutex_);
         lease_ = std::get<HostLease>(registered);
         return lease_->lifetime_ / renewalsPerLifetime;
--- a/libraries/process/recordreplicator.h
+++ b/libraries/process/recordreplicator.h
@@ -3,7 +3,6 @@
 
 #include "process/fleetstate.h"
 #include "process/hostgossip.h"
-#include "process/quotaannouncements.h"
 #include "process/recordstore.h"
 
 #include <absl/base/thread_annotations.h>
@@ -35,13 +34,9 @@
     std::function<void(absl::Time)> onRecordsChanged_;
     /** Called when a watch or read has failed after the last call had succeeded. */
     std::function<void(absl::Time)> onStoreLost_;
-    /** What this host's quotas announce. */
-    QuotaAnnouncements *announcements_ = nullptr;
-    /** Called once with what the earlier process of this host had announced; not called if the store has none. */
-    std::function<void(const OrganisationNames &)> onEarlierAnnouncement_;
 };
 
-/** Runs four threads: one watches the store, one keeps the registration, one announces the use of quotas, one fetches newer records from peers. Thread-safe. */
+/** Runs three threads: one watches the store, one keeps the registration, one fetches newer records from peers. Thread-safe. */
 class RecordReplicator
 {
 public:
@@ -67,9 +62,6 @@
     auto watchOnce() -> bool;
     auto applyFromStore(const RecordBatch &batch) -> void;
     auto runRegistration() -> void;
-    /** Reads what the earlier process has announced; false if the store did not respond. */
-    auto readEarlierAnnouncement() -> bool;
-    auto runAnnouncements() -> void;
     /** Registers the host or renews its lease. Returns the time until the next call. */
     auto registerOrRenew() -> absl::Duration;
     auto runPeerFetch() -> void;
@@ -83,8 +75,6 @@
     std::optional<NewerPeer> newerPeer_ ABSL_GUARDED_BY(mutex_);
     std::optional<HostLease> lease_ ABSL_GUARDED_BY(mutex_);
     bool isLeaving_ ABSL_GUARDED_BY(mutex_) = false;
-    /** Used by the thread of the registration only. */
-    bool hasReadAnnouncement_ = false;
     std::vector<std::thread> threads_;
 };
 
--- a/libraries/process/recordstore.h
+++ b/libraries/process/recordstore.h
@@ -45,12 +45,8 @@
     std::function<Result<WatchResult>(const StorePosition &after, absl::Duration wait)> watch_;
     /** The era that the latest response of the store has reported; 0 before the first one. */
     std::function<std::int64_t()> latestEra_;
-    /** Writes the registration of an entry host and its announcement under a new lease. */
-    std::function<Result<HostLease>(const std::string &name, const std::string &value, const std::string &announcement)> registerHost_;
-    /** Replaces the announcement of an entry host. */
-    std::function<Result<void>(const std::string &name, const std::string &announcement, const HostLease &lease)> announce_;
-    /** Reads the announcement of an entry host; none if there is none. */
-    std::function<Result<std::optional<std::string>>(const std::string &name)> readAnnouncement_;
+    /** Writes the registration of an entry host under a new lease. */
+    std::function<Result<HostLease>(const std::string &name, const std::string &value)> registerHost_;
     /** Renews a lease; false if it has expired or is of an earlier era. */
     std::function<Result<bool>(const HostLease &lease)> renewLease_;
     /** Removes the registration of an entry host, unless it has been written again or was removed since. */
--- a/libraries/request/windowquota.cpp
+++ b/libraries/request/windowquota.cpp
@@ -12,9 +12,6 @@
 /** Time until the earlier holders of a part have heard of the new one. */
 constexpr auto newsTime = absl::Seconds(1);
 
-/** Organisations that stay well within their limits seldom use this fraction of a part. */
-constexpr auto announcedFraction = 0.75;
-
 }
 
 auto fleetQuota(const Organisation &limits, const QuotaSettings &settings) -> std::int64_t
@@ -23,19 +20,6 @@
     return static_cast<std::int64_t>(std::floor(baseQuota * (1 + settings.overage_) + settings.slack_));
 }
 
-auto announcedFrom(std::int64_t limit) -> std::int64_t
-{
-    return static_cast<std::int64_t>(std::ceil(static_cast<double>(limit) * announcedFraction));
-}
-
-auto usedIn(WindowQuota &quota, absl::Time now, absl::Duration window) -> std::int64_t
-{
-    while (!quota.admitted_.empty() && now - quota.admitted_.front() >= window) {
-        quota.admitted_.pop_front();
-    }
-    return static_cast<std::int64_t>(quota.admitted_.size());
-}
-
 auto usableLimit(const HeldPart &part, absl::Time now, absl::Duration window) -> std::int64_t
 {
     const auto heldTime = now - part.since_;
@@ -48,8 +32,11 @@
 
 auto admit(WindowQuota &quota, absl::Time now, const HeldPart &part, absl::Duration window) -> QuotaDecision
 {
+    while (!quota.admitted_.empty() && now - quota.admitted_.front() >= window) {
+        quota.admitted_.pop_front();
+    }
     const auto limit = usableLimit(part, now, window);
-    const auto used = usedIn(quota, now, window);
+    const auto used = static_cast<std::int64_t>(quota.admitted_.size());
     if (used >= limit) {
         const auto freeingTime = quota.admitted_.empty() ? window : quota.admitted_.front() + window - now;
         const auto growthTime = limit < part.limit_ && part.growth_ == PartGrowth::Linear ? window / part.limit_ : window;
--- a/libraries/request/windowquota.h
+++ b/libraries/request/windowquota.h
@@ -51,12 +51,6 @@
     auto operator==(const HeldPart &other) const -> bool = default;
 };
 
-/** Requests of a window from which a holder announces that much of its part is used. */
-[[nodiscard]] auto announcedFrom(std::int64_t limit) -> std::int64_t;
-
-/** Number of requests admitted within the window. */
-[[nodiscard]] auto usedIn(WindowQuota &quota, absl::Time now, absl::Duration window) -> std::int64_t;
-
 /** The part of the limit that may be used at a time. */
 [[nodiscard]] auto usableLimit(const HeldPart &part, absl::Time now, absl::Duration window) -> std::int64_t;
 
