Split the server for callers: state, and what closes connections

Change: moves only. callerserverstate.h holds the state, callerservertimeouts.cpp what closes expired, idle and stalled connections.

--- a/libraries/process/callerserver.cpp
+++ b/libraries/process/callerserver.cpp
@@ -1,22 +1,14 @@
-#include "process/callerserver.h"
+#include "process/callerserverstate.h"
 
 #include "connection/httpmessage.h"
 #include "connection/tcpconnection.h"
 #include "core/clock.h"
 #include "core/log.h"
-#include "process/callerconnection.h"
 #include "process/callermessages.h"
-#include "process/listeningsockets.h"
-#include "process/processdelay.h"
 #include "process/requestmessages.h"
 #include "request/refusal.h"
 #include "request/runtoken.h"
 
-#include <absl/base/thread_annotations.h>
-#include <absl/container/flat_hash_map.h>
-#include <absl/functional/function_ref.h>
-#include <absl/synchronization/mutex.h>
-#include <absl/synchronization/notification.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -26,11 +18,8 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
-#include <atomic>
 #include <cerrno>
 #include <cstring>
-#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -49,95 +38,14 @@
 constexpr auto wakeEventId = std::uint64_t { 0 };
 /** Epoll identifiers from here on belong to the listeners, in order. */
 constexpr auto firstListenerId = std::uint64_t { 1 };
-constexpr auto firstConnectionId = std::uint64_t { 16 };
-constexpr auto maximumListeners = firstConnectionId - firstListenerId;
-
-constexpr auto shardCount = std::size_t { 16 };
-
-constexpr auto timeoutCheckInterval = absl::Milliseconds(250);
-
-// How long a caller has to close its end after the last response (lingering close).
-constexpr auto lingerTimeout = absl::Seconds(1);
 
 /** Bytes that are read and discarded after the last response; the connection of a caller that sends more is reset. */
 constexpr auto maximumDiscardedBytes = std::size_t { 4 } * 1024 * 1024;
 
 constexpr auto bodyTooLargeDetail = "the body is larger than allowed";
 
-/** What to do with a connection next. */
-enum class ConnectionStep {
-    /** Wait for input. */
-    Wait,
-    /** Another request may be buffered already. */
-    Continue,
-    /** Wait until the caller closes the connection, so that the last response isn't lost to a reset. */
-    Linger,
-    Close,
-};
-
 }
 
-struct CallerServer::State
-{
-    struct Shard
-    {
-        absl::Mutex mutex_;
-        absl::flat_hash_map<std::uint64_t, std::unique_ptr<CallerConnection>> waiting_ ABSL_GUARDED_BY(mutex_);
-    };
-
-    State(CallerServerSettings settings, CallerHandlers handlers);
-    ~State();
-
-    auto bind() -> Result<void>;
-    auto listenOn(const std::string &address) -> Result<int>;
-    auto runWorker() -> void;
-    auto checkTimeouts() -> void;
-    auto acceptAll(std::size_t listener) -> void;
-    auto serveReceivedRequest(CallerConnection &connection) -> ConnectionStep;
-    auto endRequest(CallerConnection &connection, ConnectionStep next) -> ConnectionStep;
-    auto write(CallerConnection &connection, const std::string &method, CallerResponse response) -> ConnectionStep;
-    auto addThread() -> void;
-    auto currentLimits() const -> CallerLimits;
-    auto waitForInput(std::uint64_t id, std::unique_ptr<CallerConnection> connection, bool isNew) -> void;
-    auto takeWaiting(std::uint64_t id) -> std::unique_ptr<CallerConnection>;
-    auto serveConnection(std::uint64_t id) -> void;
-    auto serveNext(CallerConnection &connection) -> ConnectionStep;
-    auto discard(CallerConnection &connection) -> ConnectionStep;
-    auto serveRequest(CallerConnection &connection) -> ConnectionStep;
-    auto respond(CallerConnection &connection, const std::string &method, const httplib::Response &response, bool close) -> ConnectionStep;
-    auto refuse(CallerConnection &connection, Refusal refusal, std::string_view detail, Outcome outcome = Outcome::NotRun) -> ConnectionStep;
-    auto timeoutOf(const CallerConnection &connection) const -> absl::Duration;
-    auto isExpired(const CallerConnection &connection, absl::Time now) const -> bool;
-    auto closeIf(absl::FunctionRef<bool(const CallerConnection &)> condition) -> std::size_t;
-    auto closeExpired(absl::Time now, bool includeIdle) -> void;
-    auto closeStalledBodies(absl::Time now) -> void;
-
-    CallerServerSettings settings_;
-    CallerHandlers handlers_;
-    ListeningSockets listeners_;
-    int epoll_ = -1;
-    int wakeDescriptor_ = -1;
-    int port_ = 0;
-    std::array<Shard, shardCount> shards_;
-    std::atomic<std::uint64_t> nextId_ = firstConnectionId;
-    std::atomic<std::size_t> openConnections_ = 0;
-    std::atomic<int> activeConnections_ = 0;
-    std::atomic<int> unansweredRequests_ = 0;
-    std::atomic<std::int64_t> bodiesWithoutRoom_ = 0;
-    std::atomic<std::int64_t> stalledBodies_ = 0;
-    std::atomic<std::int64_t> connectionsBeyondLimit_ = 0;
-    /** Rejections of the budget at the last check for stalled bodies. */
-    std::int64_t lastRejections_ = 0;
-    std::atomic<bool> draining_ = false;
-    std::atomic<bool> stopped_ = false;
-    absl::Notification timeoutChecksEnd_;
-    /** Threads that wait in epoll_wait. */
-    std::atomic<int> idleThreads_ = 0;
-    absl::Mutex threadsMutex_;
-    std::vector<std::thread> threads_ ABSL_GUARDED_BY(threadsMutex_);
-    std::thread timeoutThread_;
-};
-
 CallerServer::State::State(CallerServerSettings settings, CallerHandlers handlers)
     : settings_(std::move(settings))
     , handlers_(std::move(handlers))
@@ -172,6 +80,7 @@
     if (epoll_ctl(epoll_, EPOLL_CTL_ADD, wakeDescriptor_, &wakeEvent) != 0) {
         return makeError("listen for callers", settings_.address_, std::generic_category().message(errno));
     }
+    constexpr auto maximumListeners = firstConnectionId - firstListenerId;
     if (settings_.furtherAddresses_.size() >= maximumListeners) {
         return makeError("listen for callers", settings_.address_, "too many addresses");
     }
@@ -460,76 +369,6 @@
     return respond(connection, "GET", response, true);
 }
 
-auto CallerServer::State::timeoutOf(const CallerConnection &connection) const -> absl::Duration
-{
-    if (connection.lingering_) {
-        return lingerTimeout;
-    }
-    if (connection.reader_) {
-        // Not shorter than the caller's own deadline, or it would abort uploads that are only slow.
-        return settings_.bodyTimeout_;
-    }
-    const auto limits = currentLimits();
-    return connection.headBegun_ ? limits.headTimeout_ : limits.idleTimeout_;
-}
-
-auto CallerServer::State::isExpired(const CallerConnection &connection, absl::Time now) const -> bool
-{
-    return now - connection.waitingSince_ > timeoutOf(connection);
-}
-
-// Closes waiting connections and returns their number.
-auto CallerServer::State::closeIf(absl::FunctionRef<bool(const CallerConnection &)> condition) -> std::size_t
-{
-    auto closed = std::size_t { 0 };
-    for (auto &shard : shards_) {
-        const auto lock = absl::MutexLock(&shard.mutex_);
-        closed += absl::erase_if(shard.waiting_, [&](const auto &item) {
-            return condition(*item.second);
-        });
-    }
-    openConnections_ -= closed;
-    return closed;
-}
-
-// Closes the connections whose timeout has expired, and with includeIdle also every one without a request.
-auto CallerServer::State::closeExpired(absl::Time now, bool includeIdle) -> void
-{
-    closeIf([&](const CallerConnection &connection) {
-        return isExpired(connection, now) || (includeIdle && !connection.reader_ && connection.connection_.isOpenAndIdle());
-    });
-}
-
-// Callers that stop within their bodies would otherwise keep the memory from the others until the timeout of bodies.
-auto CallerServer::State::closeStalledBodies(absl::Time now) -> void
-{
-    const auto rejections = settings_.bodyMemory_ ? settings_.bodyMemory_->rejections() : 0;
-    if (std::exchange(lastRejections_, rejections) == rejections) {
-        return;
-    }
-    const auto closed = closeIf([&](const CallerConnection &connection) {
-        return connection.reader_ && now - connection.bodyProgressAt_ > settings_.stalledBodyTimeout_;
-    });
-    if (closed > 0) {
-        stalledBodies_ += static_cast<std::int64_t>(closed);
-        logLine(wallNow(), LogLevel::Warning, "stalled_bodies_closed", { { "count", std::to_string(closed) } });
-    }
-}
-
-auto CallerServer::State::checkTimeouts() -> void
-{
-    auto before = readWake();
-    while (!timeoutChecksEnd_.WaitForNotificationWithTimeout(timeoutCheckInterval)) {
-        const auto now = readWake();
-        if (const auto delay = delayBetween(before, now, timeoutCheckInterval)) {
-            logDelay(*delay);
-        }
-        before = now;
-        closeExpired(now.at_, false);
-        closeStalledBodies(now.at_);
-    }
-}
-
 CallerServer::CallerServer(CallerServerSettings settings, CallerHandlers handlers)
     : state_(std::make_unique<State>(std::move(settings), std::move(handlers)))
 {
