--- a/review/standins-2/deployment2.h
+++ b/review/standins-2/deployment2.h
@@ -47,9 +47,10 @@
 {
     std::string method_;
     std::string path_;
-    /** X-Request-Id and X-Deadline-Ms. */
+    /** X-Request-Id, X-Deadline-Ms and X-Tenant. */
     std::string id_;
     std::string remainingMilliseconds_;
+    std::string tenant_;
 };
 
 /** What an upstream answers when it has run a request. */
--- a/review/standins-2/platform/support/deployment2.cpp
+++ b/review/standins-2/platform/support/deployment2.cpp
@@ -124,7 +124,8 @@
             return response;
         }
         running_ += 1;
-        auto answer = settings_.run_({ request.method_, request.path_, id, standin::headerValue(request, "x-deadline-ms") });
+        auto answer =
+            settings_.run_({ request.method_, request.path_, id, standin::headerValue(request, "x-deadline-ms"), standin::headerValue(request, "x-tenant") });
         response.headers_.emplace_back("X-Server-Stamp", settings_.instance_ + "." + id);
         response.headers_.emplace_back("X-Server-Load", fmt::format("{},0,{}", running_.fetch_sub(1), settings_.slots_));
         response.status_ = answer.status_;
