--- a/review/10/lasttenant.cpp
+++ b/review/10/lasttenant.cpp
@@ -40,7 +40,7 @@
     auto &host = deployment.hosts().front();
     const auto send = [&](const std::string &method, const std::string &path, const std::string &key, const std::string &id) {
         auto connection = ClientConnection(host.front_);
-        const auto answer = connection.send(method, path, key, id, timeLimit);
+        auto answer = connection.send(method, path, key, id, timeLimit);
         record.write(fmt::format(
             "{} {} {} with the key '{}': status {}, stamp '{}', {} bytes", id, method, path, key, answer.status_, answer.stamp_, answer.bodyBytes_));
         return answer;
