--- a/review/9/latestop.cpp
+++ b/review/10/latestop.cpp
@@ -53,7 +53,8 @@
     // No impairment for longer than stable_window, and some ordinary reads.
     for (auto number = 0; number < 12; ++number) {
         auto connection = ClientConnection(deployment.hosts().front().front_);
-        static_cast<void>(connection.send("GET", "/board/2", key, fmt::format("read{}", number), timeLimit));
+        const auto answer = connection.send("GET", "/board/2", key, fmt::format("read{}", number), timeLimit);
+        record.write(fmt::format("read{}: status {}", number, answer.status_));
     }
     auto &host = deployment.hosts().front();
     if (isTroubled()) {
--- a/review/standins-2/deployment2.h
+++ b/review/standins-2/deployment2.h
@@ -155,6 +155,10 @@
     /** Sends a request and waits for its answer for as long as the request says. */
     auto send(const std::string &method, const std::string &path, const std::string &key, const std::string &id, std::chrono::milliseconds timeLimit) -> Answer;
 
+    /** Sends the head of an upload and a part of its body; false if the connection does not take them. */
+    [[nodiscard]] auto beginUpload(const std::string &path, const std::string &key, const std::string &id, std::size_t bodyBytes, std::size_t sentBytes)
+        -> bool;
+
     /** Limits the bytes that are read per second; 0 is no limit. */
     auto setReadRate(std::size_t bytesPerSecond) -> void;
     /** Header lines that later requests contain, each with its line end. */
--- a/review/standins-2/platform/support/deployment2.cpp
+++ b/review/standins-2/platform/support/deployment2.cpp
@@ -415,6 +415,27 @@
     }
 }
 
+auto ClientConnection::beginUpload(const std::string &path, const std::string &key, const std::string &id, std::size_t bodyBytes, std::size_t sentBytes) -> bool
+{
+    constexpr auto timeLimit = 20000;
+    auto text =
+        fmt::format("PUT {} HTTP/1.1\r\nHost: ficu95.example\r\nX-Request-Id: {}\r\nX-Deadline-Ms: {}\r\nX-Credential: {}\r\nContent-Length: {}\r\n\r\n",
+                    path,
+                    id,
+                    timeLimit,
+                    key,
+                    bodyBytes);
+    text.append(sentBytes, 'z');
+    for (auto sent = std::size_t { 0 }; sent < text.size();) {
+        const auto count = ::send(socket_, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            return false;
+        }
+        sent += static_cast<std::size_t>(count);
+    }
+    return true;
+}
+
 auto ClientConnection::setReadRate(std::size_t bytesPerSecond) -> void
 {
     // A small buffer, so that the bytes wait at the host and not here.
