Show that responses with a broken status or header line reach no caller

Reported from other systems: an answer whose status was 000, or in whose head the name of a field held a blank or a control byte, reached a client. Here it does not, so the tests stay and the product is unchanged.

--- a/libraries/connection/backendpooltest.cpp
+++ b/libraries/connection/backendpooltest.cpp
@@ -1,5 +1,6 @@
 #include "connection/backendpool.h"
 
+#include "connection/brokenresponses.h"
 #include "connection/scriptedserver.h"
 #include "core/clock.h"
 
@@ -361,6 +362,24 @@
     }
 }
 
+// Guards against a response that no HTTP client may accept and that is passed on, for callers and for health checks, which use a pool as well.
+TEST_CASE("a response with a broken status or header line is not complete")
+{
+    for (const auto &broken : brokenResponses("X-Request-Id: b\r\nX-Server-Stamp: s\r\n", "ok")) {
+        CAPTURE(broken.title_);
+        const auto server = ScriptedServer("127.0.0.1", [&](const ScriptedRequest &) {
+            return ScriptedReply { broken.bytes_, absl::ZeroDuration(), true };
+        });
+        auto pool = BackendPool(echoSettings());
+        for (const auto &method : std::vector<std::string> { "GET", "POST" }) {
+            CAPTURE(method);
+            const auto exchange = pool.exchange(callWithId(server, "b"), plainRequest(method));
+            CHECK(exchange.status_ == ExchangeStatus::Incomplete);
+        }
+        CHECK(pool.idleCount(server.address()) == 0);
+    }
+}
+
 // Guards against a part of a response that is passed on as the whole: a write of the request's body reports the reset, and the next read at the end of the
 // received bytes reports none.
 TEST_CASE("a response that arrives before the whole request was written is complete only if its own end arrived")
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -1,3 +1,4 @@
+#include "connection/brokenresponses.h"
 #include "connection/httpmessage.h"
 #include "connection/scriptedserver.h"
 #include "core/clock.h"
@@ -184,3 +185,34 @@
         }
     }
 }
+
+// Guards against a response that no HTTP client may accept, such as one whose status is 000 or whose header names hold blanks or control bytes, and that a
+// caller gets as an answer.
+TEST_CASE("a response with a broken status or header line never reaches a caller")
+{
+    auto fleet = Fleet(smallFleet());
+    const auto whole = std::string("HTTP/1.1 200 OK\r\n") + serverLines + "Content-Length: 2\r\n\r\nok";
+    auto answer = whole;
+    const auto server = ScriptedServer(lycheecleat::testIp(1, 151), [&](const ScriptedRequest &request) {
+        return ScriptedReply { withId(answer, idOf(request)), absl::ZeroDuration(), true };
+    });
+    replaceBackends(fleet, server);
+    auto &host = fleet.hosts().front();
+    const auto isServed = [&] {
+        return statusOf(callRaw(host, "GET", "/read/a")) == okStatus && server.requestCount() > 0;
+    };
+    for (const auto &broken : lycheecleat::brokenResponses(serverLines, "ok")) {
+        CAPTURE(broken.title_);
+        for (const auto &method : std::vector<std::string> { "GET", "POST" }) {
+            CAPTURE(method);
+            // Failed responses may lead to a pause in which the host sends nothing to a server, which a good response ends.
+            answer = whole;
+            REQUIRE(Fleet::waitFor(isServed, std::chrono::seconds { 10 }));
+            answer = broken.bytes_;
+            const auto requestsBefore = server.requestCount();
+            const auto reply = callRaw(host, method, "/book/a");
+            CHECK(server.requestCount() == requestsBefore + 1);
+            CHECK(statusOf(reply) == badGatewayStatus);
+        }
+    }
+}
