Show that bytes without end from backend servers and peers are given up

Reported from other operators: a faulty upstream sent bytes that were no answer, without end, and the machine that had called it kept them all and ran out of memory. For backend servers and peers this does not happen here, so the tests stay and the product is unchanged.

--- a/libraries/connection/brokenresponses.h
+++ b/libraries/connection/brokenresponses.h
@@ -66,4 +66,39 @@
     return responses;
 }
 
+/** A response that never ends: a prefix, and bytes that are repeated after it. */
+struct EndlessResponse
+{
+    std::string title_;
+    std::string prefix_;
+    std::string repeated_;
+};
+
+/** A table of endless responses. The given header lines, each with its line end, stand in the heads of those that have one. */
+[[nodiscard]] inline auto endlessResponses(const std::string &lines) -> std::vector<EndlessResponse>
+{
+    const auto head = "HTTP/1.1 200 OK\r\n" + lines;
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    return {
+        { "no line end", "", "x" },
+        { "no line end after a valid start", "HTTP/1.1 200 ", "x" },
+        { "binary data", "", std::string("\0\xff\x80", 3) },
+        { "empty lines", "", "\r\n" },
+        { "empty lines after a bare line feed", "\n", "\r\n" },
+        { "header lines", head, "A: b\r\n" },
+        { "header lines that differ", head, "A" + std::string(200, 'a') + ": b\r\n" },
+        { "one header line", head + "A: ", "b" },
+        { "header lines without a colon", head, "A\r\n" },
+        { "informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "a body delimited by the close of the connection", head + "\r\n", "x" },
+        { "chunks", chunked, "1\r\nx\r\n" },
+        { "chunk extensions", chunked, "1;" + std::string(8000, 'e') + "\r\nx\r\n" },
+        { "one chunk extension", chunked + "1;", "e" },
+        { "one chunk size", chunked, "0" },
+        { "one chunk", chunked + "7fffffff\r\n", "x" },
+        { "trailer lines", chunked + "0\r\n", "A: b\r\n" },
+        { "a huge content length", head + "Content-Length: 9000000000\r\n\r\n", "x" },
+    };
+}
+
 }
--- a/libraries/connection/fleetpeerstest.cpp
+++ b/libraries/connection/fleetpeerstest.cpp
@@ -1,9 +1,14 @@
 #include "connection/fleetpeers.h"
 
+#include "connection/brokenresponses.h"
+#include "connection/scriptedserver.h"
+#include "core/testaddress.h"
+
 #include <doctest/doctest.h>
 
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace lycheecleat;
@@ -97,3 +102,30 @@
     records.asOf = 7;
     CHECK(positionOf(fromMessage(records)) == StorePosition { 0, 7 });
 }
+
+// Guards against a host that exhausts memory, waits for long or uses records when the address of a peer belongs to another program, or the peer is broken.
+TEST_CASE("bytes without end that are no answer of a peer are an error")
+{
+    constexpr auto maximumSentBytes = std::size_t { 32 } * 1024 * 1024;
+    auto cases = endlessResponses("");
+    cases.push_back({ "empty frames", "", std::string(4, '\0') });
+    cases.push_back({ "one large frame", std::string("\0\xff\xff\xff", 4), "x" });
+    cases.push_back({ "frames with an unknown message", "", std::string("\0\0\0\4abcd", 8) });
+    cases.push_back({ "one frame with a long name", std::string("\0\xff\xff\xff\x80\1\0\2\0\xff\xff\0", 12), "n" });
+    for (const auto &endlessCase : cases) {
+        CAPTURE(endlessCase.title_);
+        const auto server = ScriptedServer(
+            testIp(9, 7),
+            [&](const ScriptedRequest &) {
+                auto reply = ScriptedReply { endlessCase.prefix_ };
+                reply.repeated_ = endlessCase.repeated_;
+                return reply;
+            },
+            ScriptedMode::AtOnce);
+        const auto fetched = attempt([&] {
+            return fetchRecords(server.address(), {}, absl::Seconds(1));
+        });
+        CHECK(std::holds_alternative<Error>(fetched));
+        CHECK(server.sentBytes() < maximumSentBytes);
+    }
+}
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -4,11 +4,13 @@
 #include "core/clock.h"
 #include "core/testaddress.h"
 #include "support/fleet.h"
+#include "support/measurement.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
 #include <string>
+#include <thread>
 #include <variant>
 #include <vector>
 
@@ -28,6 +30,7 @@
 /** Larger than what the sockets of both sides buffer while the server reads nothing. */
 constexpr auto uploadBytes = std::size_t { 16 } * 1024 * 1024;
 
+constexpr auto bytesPerMegabyte = 1024 * 1024;
 constexpr auto callerTimeout = absl::Seconds(10);
 
 /** Stands for the request's identifier in the bytes of a reply, so that all replies of a table can be written before the requests are known. */
@@ -216,3 +219,39 @@
         }
     }
 }
+
+// Guards against a host that keeps what a broken backend server sends without end, until it is killed for exceeding its memory.
+TEST_CASE("a host stays within its memory limit when backend servers send responses without end")
+{
+    constexpr auto concurrentCallers = 40;
+    const auto settings = smallFleet();
+    auto fleet = Fleet(settings);
+    auto &host = fleet.hosts().front();
+    for (const auto &endless : lycheecleat::endlessResponses(serverLines)) {
+        CAPTURE(endless.title_);
+        const auto server = ScriptedServer(lycheecleat::testIp(1, 152), [&](const ScriptedRequest &request) {
+            auto reply = ScriptedReply { withId(endless.prefix_, idOf(request)) };
+            reply.repeated_ = endless.repeated_;
+            return reply;
+        });
+        replaceBackends(fleet, server);
+        REQUIRE(Fleet::waitFor(
+            [&] {
+                static_cast<void>(fleet.call(host, "/book/a"));
+                return server.requestCount() > 0;
+            },
+            std::chrono::seconds { 10 }));
+        auto callers = std::vector<std::thread> {};
+        for (auto number = 0; number < concurrentCallers; ++number) {
+            callers.emplace_back([&fleet, &host, number] {
+                fleet.call(host, "/book/" + std::to_string(number));
+            });
+        }
+        for (auto &caller : callers) {
+            caller.join();
+        }
+        REQUIRE(host.process_->isRunning());
+        CHECK(integration::peakMemory(host.process_->pid()) / bytesPerMegabyte < settings.memoryMegabytes_);
+    }
+    MESSAGE("peak " << integration::peakMemory(host.process_->pid()) / bytesPerMegabyte << " MB");
+}
