Bound and check what the store client of declared deployments reads

Callers saw: nothing yet.

Change: StoreClient keeps HttpClients in its pool of idle connections. percentEncoded takes the place of its own encoding of keys. What a failed write says about its effect is as before: nothing was sent without a connection, anything else may have taken effect.

--- a/libraries/connection/storeclient.cpp
+++ b/libraries/connection/storeclient.cpp
@@ -1,16 +1,14 @@
 #include "connection/storeclient.h"
 
-#include "core/socketaddress.h"
+#include "connection/httpclient.h"
 
 #include <absl/base/thread_annotations.h>
 #include <absl/synchronization/mutex.h>
 #include <fmt/format.h>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
-#include <optional>
-#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace lycheecleat
 {
@@ -31,31 +29,9 @@
 
 constexpr auto uncertainWriteNote = "; the write may have taken effect";
 
-auto isUnreserved(unsigned char character) -> bool
-{
-    const auto isLetter = (character >= 'A' && character <= 'Z') || (character >= 'a' && character <= 'z');
-    const auto isDigit = character >= '0' && character <= '9';
-    return isLetter || isDigit || character == '-' || character == '.' || character == '_' || character == '~';
-}
-
-/** Percent-encodes each segment of a key; slashes stay as they are. */
-auto encodeKey(const std::string &key) -> std::string
-{
-    auto encoded = std::string {};
-    for (const auto character : key) {
-        const auto byte = static_cast<unsigned char>(character);
-        if (character == '/' || isUnreserved(byte)) {
-            encoded += character;
-        } else {
-            encoded += fmt::format("%{:02X}", byte);
-        }
-    }
-    return encoded;
-}
-
 auto keyPath(const std::string &key) -> std::string
 {
-    return "/v1/keys/" + encodeKey(key);
+    return "/v1/keys/" + percentEncoded(key, "/");
 }
 
 auto toEntry(const Json &body) -> StoreEntry
@@ -80,12 +56,11 @@
 {
     explicit ConnectionPool(StoreSettings settings)
         : settings_(std::move(settings))
-        , address_(parseSocketAddress(settings_.address_).value_or(SocketAddress { settings_.address_, 0 }))
     {
     }
 
     /** An idle connection, or a new one that connects at its first call. */
-    [[nodiscard]] auto acquire() -> std::unique_ptr<httplib::Client>
+    [[nodiscard]] auto acquire() -> HttpClient
     {
         {
             const auto lock = absl::MutexLock(&mutex_);
@@ -95,11 +70,11 @@
                 return connection;
             }
         }
-        return open();
+        return HttpClient(settings_.address_);
     }
 
     /** Returns a connection to the pool after a complete response. */
-    auto release(std::unique_ptr<httplib::Client> connection) -> void
+    auto release(HttpClient connection) -> void
     {
         const auto lock = absl::MutexLock(&mutex_);
         if (idle_.size() < maximumIdleConnections) {
@@ -110,7 +85,7 @@
     /** Closes the idle connections, since the cause of one failed connection, such as a restart of the store, usually affects all. */
     auto closeIdle() -> void
     {
-        auto closed = std::vector<std::unique_ptr<httplib::Client>> {};
+        auto closed = std::vector<HttpClient> {};
         const auto lock = absl::MutexLock(&mutex_);
         closed.swap(idle_);
     }
@@ -119,65 +94,45 @@
      * Sends a request and returns the status and the parsed body. After a failure the connection is closed, since a late response on it
      * would be read as the response to a later call.
      */
-    [[nodiscard]] auto call(const std::string &step, const httplib::Request &request, absl::Duration timeout, bool isWrite) -> Result<std::pair<int, Json>>
+    [[nodiscard]] auto call(const std::string &step, RequestContent request, absl::Duration timeout, bool isWrite) -> Result<std::pair<int, Json>>
     {
         auto connection = acquire();
-        connection->set_read_timeout(absl::ToChronoMicroseconds(timeout));
-        auto response = connection->send(request);
+        const auto result = connection.call(std::move(request), { settings_.timeout_, timeout, timeout });
         const auto uncertainty = isWrite ? uncertainWriteNote : "";
-        if (!response) {
+        if (result.status_ != HttpCallStatus::Complete) {
             closeIdle();
-            // Without a connection nothing was sent, so a write can't have taken effect.
-            const auto note = response.error() == httplib::Error::Connection ? "" : uncertainty;
-            return makeError(step, settings_.address_, fmt::format("no response from the store: {}{}", httplib::to_string(response.error()), note));
+            // A write of which nothing was sent can't have taken effect.
+            const auto note = result.status_ == HttpCallStatus::NotSent ? "" : uncertainty;
+            return makeError(step, settings_.address_, fmt::format("no response from the store: {}{}", result.detail_, note));
         }
-        if (response->status == statusTooManyRequests) {
+        const auto &response = result.response_;
+        if (response.status_ == statusTooManyRequests) {
             release(std::move(connection));
             return makeError(step, settings_.address_, "the store rejected the call because its rate limit is reached");
         }
-        if (response->status >= firstServerErrorStatus) {
-            return makeError(step, settings_.address_, fmt::format("the store responded with status {}{}", response->status, uncertainty));
+        if (response.status_ >= firstServerErrorStatus) {
+            return makeError(step, settings_.address_, fmt::format("the store responded with status {}{}", response.status_, uncertainty));
         }
-        auto body = Json::parse(response->body, nullptr, false);
+        auto body = Json::parse(response.body_.text(), nullptr, false);
         if (!body.is_object()) {
             return makeError(step, settings_.address_, fmt::format("the store's response is not a JSON object{}", uncertainty));
         }
         release(std::move(connection));
-        return std::pair { response->status, std::move(body) };
+        return std::pair { response.status_, std::move(body) };
     }
 
 private:
-    [[nodiscard]] auto open() const -> std::unique_ptr<httplib::Client>
-    {
-        auto connection = std::make_unique<httplib::Client>(address_.ip_, address_.port_);
-        const auto timeout = absl::ToChronoMicroseconds(settings_.timeout_);
-        connection->set_connection_timeout(timeout);
-        connection->set_read_timeout(timeout);
-        connection->set_write_timeout(timeout);
-        connection->set_keep_alive(true);
-        connection->set_tcp_nodelay(true);
-        connection->set_decompress(false);
-        connection->set_follow_location(false);
-        // Paths are already percent-encoded; encoding them again would change the key.
-        connection->set_url_encode(false);
-        return connection;
-    }
-
     const StoreSettings settings_;
-    const SocketAddress address_;
     absl::Mutex mutex_;
-    std::vector<std::unique_ptr<httplib::Client>> idle_ ABSL_GUARDED_BY(mutex_);
+    std::vector<HttpClient> idle_ ABSL_GUARDED_BY(mutex_);
 };
 
 namespace
 {
 
-auto makeRequest(const std::string &method, const std::string &path) -> httplib::Request
+auto getRequest(const std::string &path) -> RequestContent
 {
-    auto request = httplib::Request {};
-    request.method = method;
-    request.path = path;
-    return request;
+    return { "GET", path, {}, {} };
 }
 
 auto unexpectedStatus(const std::string &step, const std::string &address, int status) -> boost::leaf::error_id
@@ -209,7 +164,7 @@
 auto StoreClient::get(const std::string &key) -> Result<StoreEntry>
 {
     const auto step = "read store key " + key;
-    BOOST_LEAF_AUTO(response, connections_->call(step, makeRequest("GET", keyPath(key)), settings_.timeout_, false));
+    BOOST_LEAF_AUTO(response, connections_->call(step, getRequest(keyPath(key)), settings_.timeout_, false));
     if (response.first != statusOk && response.first != statusNotFound) {
         return unexpectedStatus(step, settings_.address_, response.first);
     }
@@ -220,7 +175,7 @@
 {
     const auto step = "watch store key " + key;
     const auto path = fmt::format("{}?wait_ms={}&version={}", keyPath(key), absl::ToInt64Milliseconds(wait), knownVersion);
-    BOOST_LEAF_AUTO(response, connections_->call(step, makeRequest("GET", path), settings_.timeout_ + wait, false));
+    BOOST_LEAF_AUTO(response, connections_->call(step, getRequest(path), settings_.timeout_ + wait, false));
     if (response.first != statusOk && response.first != statusNotFound) {
         return unexpectedStatus(step, settings_.address_, response.first);
     }
@@ -235,10 +190,9 @@
     if (timeToLive > absl::ZeroDuration()) {
         content["time_to_live_ms"] = absl::ToInt64Milliseconds(timeToLive);
     }
-    auto request = makeRequest("PUT", keyPath(key));
-    request.set_header("Content-Type", "application/json");
+    auto request = RequestContent { "PUT", keyPath(key), { { "Content-Type", "application/json" } }, {} };
     try {
-        request.body = content.dump();
+        request.body_ = content.dump();
     } catch (const Json::exception &) {
         return makeError(step, settings_.address_, "the value is not valid UTF-8; nothing was sent");
     }
@@ -254,7 +208,7 @@
 auto StoreClient::hostList() -> Result<HostList>
 {
     const auto step = std::string { "read host list" };
-    BOOST_LEAF_AUTO(response, connections_->call(step, makeRequest("GET", "/v1/hosts"), settings_.timeout_, false));
+    BOOST_LEAF_AUTO(response, connections_->call(step, getRequest("/v1/hosts"), settings_.timeout_, false));
     if (response.first != statusOk) {
         return unexpectedStatus(step, settings_.address_, response.first);
     }
--- a/libraries/connection/storeclienttest.cpp
+++ b/libraries/connection/storeclienttest.cpp
@@ -1,5 +1,8 @@
 #include "connection/storeclient.h"
 
+#include "connection/brokenresponses.h"
+#include "connection/httpclient.h"
+#include "connection/scriptedserver.h"
 #include "support/storeserver.h"
 
 #include <doctest/doctest.h>
@@ -252,3 +255,45 @@
     }
     CHECK(wrongReads == 0);
 }
+
+// Guards against using an answer that no HTTP client may accept, such as one whose status is 000 or whose header names hold control bytes.
+TEST_CASE("a response of the store with a broken status or header line is an error")
+{
+    for (const auto &broken : brokenResponses("", R"({"value":"v","version":3})")) {
+        CAPTURE(broken.title_);
+        const auto server = ScriptedServer("127.0.0.1", [&](const ScriptedRequest &) {
+            return ScriptedReply { broken.bytes_, absl::ZeroDuration(), true };
+        });
+        auto client = StoreClient(StoreSettings { server.address(), absl::Seconds(2) });
+        CHECK(std::holds_alternative<Error>(attempt([&] {
+            return client.get("head");
+        })));
+        CHECK(messageOf(attempt([&] {
+                  return client.compareAndSwap("head", 2, "v");
+              })).find("the write may have taken effect")
+              != std::string::npos);
+    }
+}
+
+// Guards against a store that exhausts memory or occupies a thread by an answer without end.
+TEST_CASE("a response of the store without an end is an error within a bounded size and time")
+{
+    // A body of the largest size, eight bytes of framing for each of its bytes, and the buffers of both sockets.
+    constexpr auto maximumSentBytes = 9 * HttpCallLimits {}.body_ + std::size_t { 16 } * 1024 * 1024;
+    constexpr auto timeLimit = absl::Seconds(10);
+    for (const auto &endlessCase : endlessResponses("")) {
+        CAPTURE(endlessCase.title_);
+        const auto server = ScriptedServer("127.0.0.1", [&](const ScriptedRequest &) {
+            auto reply = ScriptedReply { endlessCase.prefix_ };
+            reply.repeated_ = endlessCase.repeated_;
+            return reply;
+        });
+        auto client = StoreClient(StoreSettings { server.address(), absl::Seconds(2) });
+        const auto startedAt = monotonicNow();
+        CHECK(std::holds_alternative<Error>(attempt([&] {
+            return client.get("head");
+        })));
+        CHECK(monotonicNow() - startedAt < timeLimit);
+        CHECK(server.sentBytes() < maximumSentBytes);
+    }
+}
