Split HttpClient::call, and share the replies of the scripted server

Cause: reading the diff again: call() connected, wrote, read and kept the connection in 35 lines; the tests wrote the same replies (reset after a delay, bytes without end) in six places. A GET carried "Content-Length: 0", which requests to backend servers don't.

Change: HttpClient::receive; resetReply and endlessReply beside the scripted server; no length on a GET.

--- a/libraries/connection/backendpooltest.cpp
+++ b/libraries/connection/backendpooltest.cpp
@@ -90,15 +90,6 @@
 /** Larger than what the sockets of both sides buffer while the server reads nothing. */
 constexpr auto uploadBytes = std::size_t { 16 } * 1024 * 1024;
 
-/** Sends bytes, waits, and resets the connection. */
-auto resetReply(const std::string &bytes, absl::Duration delay) -> ScriptedReply
-{
-    auto reply = ScriptedReply { bytes };
-    reply.reset_ = true;
-    reply.endDelay_ = delay;
-    return reply;
-}
-
 /** Sends bytes, ends the connection in an orderly way, waits, and resets it. */
 auto finishedReply(const std::string &bytes, absl::Duration delay) -> ScriptedReply
 {
--- a/libraries/connection/endlessresponsetest.cpp
+++ b/libraries/connection/endlessresponsetest.cpp
@@ -32,9 +32,7 @@
     for (const auto &endlessCase : cases) {
         CAPTURE(endlessCase.title_);
         const auto server = ScriptedServer("127.0.0.1", [&](const ScriptedRequest &) {
-            auto reply = ScriptedReply { endlessCase.prefix_ };
-            reply.repeated_ = endlessCase.repeated_;
-            return reply;
+            return endlessReply(endlessCase.prefix_, endlessCase.repeated_);
         });
         auto settings = BackendPoolSettings {};
         settings.maximumResponseBody_ = bodyLimit;
--- a/libraries/connection/fleetpeerstest.cpp
+++ b/libraries/connection/fleetpeerstest.cpp
@@ -117,9 +117,7 @@
         const auto server = ScriptedServer(
             testIp(9, 7),
             [&](const ScriptedRequest &) {
-                auto reply = ScriptedReply { endlessCase.prefix_ };
-                reply.repeated_ = endlessCase.repeated_;
-                return reply;
+                return endlessReply(endlessCase.prefix_, endlessCase.repeated_);
             },
             ScriptedMode::AtOnce);
         const auto fetched = attempt([&] {
--- a/libraries/connection/httpclient.cpp
+++ b/libraries/connection/httpclient.cpp
@@ -75,7 +75,9 @@
     }
     auto connection = std::get<TcpConnection>(std::move(connected));
     request.headers_.push_back({ "Host", address_ });
-    request.headers_.push_back({ "Content-Length", std::to_string(request.body_.size()) });
+    if (request.method_ != "GET") {
+        request.headers_.push_back({ "Content-Length", std::to_string(request.body_.size()) });
+    }
     const auto bytesWrittenBefore = connection.bytesWritten();
     const auto written = writeMessage(connection, serializeHead(request), request.body_, monotonicNow() + times.firstByte_);
     if (connection.bytesWritten() == bytesWrittenBefore) {
@@ -84,6 +86,11 @@
     if (written != TransferStatus::Done) {
         return failure(HttpCallStatus::Failed, "the request could not be written");
     }
+    return receive(std::move(connection), request.method_, times);
+}
+
+auto HttpClient::receive(TcpConnection connection, const std::string &method, const HttpCallTimes &times) -> HttpCallResult
+{
     const auto firstByte = connection.fill(monotonicNow() + times.firstByte_);
     if (firstByte != TransferStatus::Done) {
         return failure(HttpCallStatus::Failed, describeNoResponse(firstByte));
@@ -91,7 +98,7 @@
     // The end of the connection may delimit the body.
     const auto limits = ResponseLimits { limits_.head_, limits_.body_, true };
     auto response = IncomingResponse {};
-    const auto status = readResponse(connection, request.method_, limits, monotonicNow() + times.response_, response);
+    const auto status = readResponse(connection, method, limits, monotonicNow() + times.response_, response);
     if (status != MessageStatus::Complete) {
         return failureOf(status);
     }
--- a/libraries/connection/httpclient.h
+++ b/libraries/connection/httpclient.h
@@ -31,7 +31,7 @@
 {
     /** Until a connection is established. */
     absl::Duration connect_;
-    /** Until the request is written, and from then until the first byte of the response. */
+    /** Until the request is written, and after that until the first byte of the response. */
     absl::Duration firstByte_;
     /** From the first byte of the response until it is complete. */
     absl::Duration response_;
@@ -61,12 +61,14 @@
     /** IP address and port. */
     explicit HttpClient(std::string address, HttpCallLimits limits = {});
 
-    /** Sends a request with added Host and Content-Length headers and receives its response. After any failure the connection is closed. */
+    /** Sends a request, with a Host header and, unless its method is GET, its length. After any failure the connection is closed. */
     [[nodiscard]] auto call(RequestContent request, const HttpCallTimes &times) -> HttpCallResult;
 
 private:
     /** The connection of the last call if it can be used again, otherwise a new one. */
     [[nodiscard]] auto takeConnection(absl::Duration connectTime) -> Result<TcpConnection>;
+    /** Receives the response to a request that has been written, and keeps the connection if it can be used again. */
+    [[nodiscard]] auto receive(TcpConnection connection, const std::string &method, const HttpCallTimes &times) -> HttpCallResult;
 
     std::string address_;
     HttpCallLimits limits_;
--- a/libraries/connection/scriptedserver.h
+++ b/libraries/connection/scriptedserver.h
@@ -44,6 +44,23 @@
     std::string repeated_ = {};
 };
 
+/** A reply that sends bytes, waits, and resets the connection. */
+[[nodiscard]] inline auto resetReply(const std::string &bytes, absl::Duration delay) -> ScriptedReply
+{
+    auto reply = ScriptedReply { bytes };
+    reply.reset_ = true;
+    reply.endDelay_ = delay;
+    return reply;
+}
+
+/** A reply that sends bytes without end after a prefix. */
+[[nodiscard]] inline auto endlessReply(const std::string &prefix, const std::string &repeated) -> ScriptedReply
+{
+    auto reply = ScriptedReply { prefix };
+    reply.repeated_ = repeated;
+    return reply;
+}
+
 /** One request as it arrived. */
 struct ScriptedRequest
 {
--- a/libraries/connection/storeclienttest.cpp
+++ b/libraries/connection/storeclienttest.cpp
@@ -284,9 +284,7 @@
     for (const auto &endlessCase : endlessResponses("")) {
         CAPTURE(endlessCase.title_);
         const auto server = ScriptedServer("127.0.0.1", [&](const ScriptedRequest &) {
-            auto reply = ScriptedReply { endlessCase.prefix_ };
-            reply.repeated_ = endlessCase.repeated_;
-            return reply;
+            return endlessReply(endlessCase.prefix_, endlessCase.repeated_);
         });
         auto client = StoreClient(StoreSettings { server.address(), absl::Seconds(2) });
         const auto startedAt = monotonicNow();
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -15,7 +15,9 @@
 #include <vector>
 
 using namespace platformtest;
+using lycheecleat::endlessReply;
 using lycheecleat::MessageStatus;
+using lycheecleat::resetReply;
 using lycheecleat::ScriptedMode;
 using lycheecleat::ScriptedReply;
 using lycheecleat::ScriptedRequest;
@@ -126,15 +128,6 @@
     return reply.status_ == MessageStatus::Complete ? reply.response_.httpResponse_.status_ : 0;
 }
 
-/** Sends bytes, waits, and resets the connection. */
-auto resetReply(const std::string &bytes, absl::Duration delay) -> ScriptedReply
-{
-    auto reply = ScriptedReply { bytes };
-    reply.reset_ = true;
-    reply.endDelay_ = delay;
-    return reply;
-}
-
 auto earlyCases() -> std::vector<EarlyCase>
 {
     const auto head = std::string("HTTP/1.1 200 OK\r\n") + serverLines;
@@ -237,9 +230,7 @@
     for (const auto &endless : lycheecleat::endlessResponses(serverLines)) {
         CAPTURE(endless.title_);
         const auto server = ScriptedServer(lycheecleat::testIp(1, 152), [&](const ScriptedRequest &request) {
-            auto reply = ScriptedReply { withId(endless.prefix_, idOf(request)) };
-            reply.repeated_ = endless.repeated_;
-            return reply;
+            return endlessReply(withId(endless.prefix_, idOf(request)), endless.repeated_);
         });
         replaceBackends(fleet, server);
         REQUIRE(Fleet::waitFor(
