Check that callers get nothing of a broken answer, and that the endless server was reached

Change: no 502 bears X-Server-Stamp, each 200 does; the server must have received the one request, which fails if it cannot bind, listen or accept.

--- a/libraries/connection/endlessresponsetest.cpp
+++ b/libraries/connection/endlessresponsetest.cpp
@@ -43,6 +43,7 @@
         auto call = BackendCall { server.address(), startedAt + callDeadline, true };
         call.requestId_ = "own";
         const auto exchange = pool.exchange(call, { "GET", "/a", { { "Host", "h" } }, "" });
+        REQUIRE(server.requestCount() == 1);
         CHECK(exchange.status_ == ExchangeStatus::Incomplete);
         CHECK(monotonicNow() - startedAt < rejectionTimeLimit);
         CHECK(server.sentBytes() < maximumSentBytes);
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -128,6 +128,12 @@
     return reply.status_ == MessageStatus::Complete ? reply.response_.httpResponse_.status_ : 0;
 }
 
+/** Whether a response has a header field that only backend servers send. */
+auto isOfBackend(const CallerReply &reply) -> bool
+{
+    return lycheecleat::headerCount(reply.response_.httpResponse_.headers_, "X-Server-Stamp") > 0;
+}
+
 auto earlyCases() -> std::vector<EarlyCase>
 {
     const auto head = std::string("HTTP/1.1 200 OK\r\n") + serverLines;
@@ -182,6 +188,7 @@
             CAPTURE(path);
             const auto reply = callRaw(host, "POST", path, std::string(uploadBytes, 'u'));
             CHECK(statusOf(reply) == earlyCase.expectedStatus_);
+            CHECK(isOfBackend(reply) == (earlyCase.expectedStatus_ == okStatus));
             if (earlyCase.expectedStatus_ == okStatus) {
                 CHECK(reply.response_.httpResponse_.body_ == "the body");
             }
@@ -216,6 +223,7 @@
             const auto reply = callRaw(host, method, "/book/a");
             CHECK(server.requestCount() == requestsBefore + 1);
             CHECK(statusOf(reply) == badGatewayStatus);
+            CHECK_FALSE(isOfBackend(reply));
         }
     }
 }
