Log when a request arrived in a planned stop, and whether the stop ended it

A request that a stopping host breaks off at 0.93 of its grace had the log line of one that has reached its own limit (504, deadline_exceeded, "no response in time"), and nothing told how long after the signal it had come: a limit that ended, an upload that became complete late, a signal that was handled late and a request that was taken late could not be told apart.

The line of each request now has stop_ms (from the handled signal to the last byte) while the host stops, and a detail that says that the stop broke it off before its own limit. The times of a stop are one value, PlannedStop, in place of a flag and a number of milliseconds; what is taken and when a host ends is as before, except that refusals close their connection from the signal on, like all other answers.

--- a/bench/fleetrequestcost.cpp
+++ b/bench/fleetrequestcost.cpp
@@ -99,9 +99,6 @@
     services.shareHolders_ = [](absl::Time) {
         return std::vector<std::uint64_t> {};
     };
-    services.isStopping_ = [] {
-        return false;
-    };
     services.settings_ = [] {
         return ReloadableSettings {};
     };
--- a/libraries/process/fleetbackendchoice.cpp
+++ b/libraries/process/fleetbackendchoice.cpp
@@ -167,7 +167,7 @@
     request.servedAt_ = [&] {
         updateReturn(state);
         // A host that stops has no time left to wait for backend servers.
-        return services_.isStopping_() ? std::nullopt : state.return_.servedAt_;
+        return monotonicNow() >= services_.plannedStop_().refusesAt_ ? std::nullopt : state.return_.servedAt_;
     };
     request.hasFreeBackend_ = [&] {
         return state.return_.hasFreeBackend_;
--- a/libraries/process/fleetdaemon.cpp
+++ b/libraries/process/fleetdaemon.cpp
@@ -29,15 +29,6 @@
 
 constexpr auto maximumLookupAddresses = std::size_t { 64 };
 
-/** Fraction of the stop grace during which new requests are still accepted, since callers keep old lookup responses. */
-constexpr auto acceptingFraction = 0.5;
-
-/** Fraction of the stop grace after which requests that have not ended are answered as at their deadlines. */
-constexpr auto waitingFraction = 0.93;
-
-/** Fraction of the stop grace after which the process ends at the latest. */
-constexpr auto finishedFraction = 0.96;
-
 constexpr auto housekeepingInterval = absl::Seconds(1);
 
 constexpr auto stopPollInterval = absl::Milliseconds(20);
@@ -164,10 +155,7 @@
                                                  return gossip_->shareHolders(now);
                                              },
                                              [this] {
-                                                 return isStopping_.load();
-                                             },
-                                             [this] {
-                                                 return endsAt();
+                                                 return plannedStop();
                                              },
                                              [this](const RequestObservation &observation) {
                                                  metrics_.observe(observation);
@@ -280,31 +268,32 @@
 
 auto FleetDaemon::stop() -> void
 {
-    const auto stopBeganAt = monotonicNow();
-    const auto grace = reloadableSettings().stopGrace_;
-    endsAtMillis_ = absl::ToUnixMillis(stopBeganAt + grace * waitingFraction);
+    const auto stop = planStop(monotonicNow(), reloadableSettings().stopGrace_);
+    {
+        const auto lock = absl::MutexLock(&plannedStopMutex_);
+        plannedStop_ = stop;
+    }
     isLeaving_ = true;
     logLine(wallNow(), LogLevel::Info, "stopping", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", callerServer_.unansweredRequests()) } });
-    gossip_->announceHeartbeats(stopBeganAt);
+    gossip_->announceHeartbeats(stop.beganAt_);
     replicator_->deregister();
-    while (monotonicNow() - stopBeganAt < grace * acceptingFraction) {
+    while (monotonicNow() < stop.refusesAt_) {
         absl::SleepFor(stopPollInterval);
     }
-    isStopping_ = true;
-    while (callerServer_.unansweredRequests() > 0 && monotonicNow() < endsAt()) {
+    while (callerServer_.unansweredRequests() > 0 && monotonicNow() < stop.waitsEndAt_) {
         absl::SleepFor(stopPollInterval);
     }
     requestHandler_.endWaits();
-    while (callerServer_.unansweredRequests() > 0 && monotonicNow() - stopBeganAt < grace * finishedFraction) {
+    while (callerServer_.unansweredRequests() > 0 && monotonicNow() < stop.endsAt_) {
         absl::SleepFor(stopPollInterval);
     }
     logLine(wallNow(), LogLevel::Info, "stopped", { { "host", settings_.name_ }, { "in_flight", fmt::format("{}", callerServer_.unansweredRequests()) } });
 }
 
-auto FleetDaemon::endsAt() const -> absl::Time
+auto FleetDaemon::plannedStop() const -> PlannedStop
 {
-    const auto millis = endsAtMillis_.load();
-    return millis == 0 ? absl::InfiniteFuture() : absl::FromUnixMillis(millis);
+    const auto lock = absl::ReaderMutexLock(&plannedStopMutex_);
+    return plannedStop_;
 }
 
 auto FleetDaemon::isReady() const -> bool
--- a/libraries/process/fleetdaemon.h
+++ b/libraries/process/fleetdaemon.h
@@ -13,6 +13,7 @@
 #include "process/recordstore.h"
 #include "process/reloadablesettings.h"
 #include "request/callerprotocol.h"
+#include "request/plannedstop.h"
 
 #include <absl/synchronization/notification.h>
 
@@ -98,7 +99,7 @@
     auto collectSnapshot() const -> FleetDaemonSnapshot;
     auto readinessResponse() const -> CallerResponse;
     auto lookupResponse(const ReceivedRequest &request) -> CallerResponse;
-    auto endsAt() const -> absl::Time;
+    auto plannedStop() const -> PlannedStop;
     auto isReady() const -> bool;
     auto stage() const -> HostStage;
     auto callerLimits() const -> CallerLimits;
@@ -110,10 +111,8 @@
     const FleetAdapter adapter_;
     const fleet::HostIdentity identity_;
     std::atomic<bool> isLeaving_ = false;
-    /** New requests are refused. */
-    std::atomic<bool> isStopping_ = false;
-    /** Monotonic time at which waits for backend servers end, in milliseconds; 0 while the process is not to end. */
-    std::atomic<std::int64_t> endsAtMillis_ = 0;
+    mutable absl::Mutex plannedStopMutex_;
+    PlannedStop plannedStop_ ABSL_GUARDED_BY(plannedStopMutex_);
     const ByteBudgetPointer bodyMemory_;
     FleetState state_;
     PermitExchange permits_;
--- a/libraries/process/fleetrequestadmission.cpp
+++ b/libraries/process/fleetrequestadmission.cpp
@@ -1,4 +1,5 @@
 // The part of FleetRequestHandler that decides whether a request may run at all: its route, organisation and quota.
+#include "connection/tcpconnection.h"
 #include "core/clock.h"
 #include "core/digest.h"
 #include "process/fleetrequeststate.h"
@@ -29,6 +30,12 @@
 /** A host that does not know an organisation may have an older policy; it is not asked again before it can have learnt the newer one. */
 constexpr auto unknownOrganisationRetry = absl::Milliseconds(250);
 
+// Bytes that follow the request on its connection make it later than it was.
+auto lastByteAt(const ReceivedRequest &request) -> absl::Time
+{
+    return std::max(request.receivedAt_, monotonicNow() - timeSinceArrival(request.socket_));
+}
+
 auto retryBudgetOf(const ReloadableSettings &settings) -> RetryBudget
 {
     const auto maximumTokens = std::max(1.0, settings.retryBudgetExtra_ * usedRetryFraction / retryExtraHosts);
@@ -61,7 +68,11 @@
     if (!state.policy_) {
         return Refusal::NoConfiguration;
     }
-    if (services_.isStopping_()) {
+    const auto stop = services_.plannedStop_();
+    if (hasBegun(stop)) {
+        state.completeAt_ = lastByteAt(state.received_);
+    }
+    if (monotonicNow() >= stop.refusesAt_) {
         return Refusal::Stopping;
     }
     const auto &content = state.received_.content_;
@@ -89,12 +100,12 @@
     if (absl::SimpleAtoi(headerValue(content.headers_, services_.protocol_.timeoutMillis_), &milliseconds)) {
         limit = std::min(limit, absl::Milliseconds(std::max<std::int64_t>(0, milliseconds)));
     }
-    const auto endsAt = services_.endsAt_();
-    if (monotonicNow() + durations_.longestExpected(state.route_->name_) > endsAt) {
+    if (monotonicNow() + durations_.longestExpected(state.route_->name_) > stop.waitsEndAt_) {
         state.detail_ = "requests of the route take longer than this host still runs";
         return Refusal::Stopping;
     }
-    state.deadline_ = std::min(state.received_.receivedAt_ + limit, endsAt);
+    state.limitEndsAt_ = state.received_.receivedAt_ + limit;
+    state.deadline_ = std::min(state.limitEndsAt_, stop.waitsEndAt_);
     chooseTargetAndCountRequest(state);
     {
         const auto lock = absl::ReaderMutexLock(&mutex_);
--- a/libraries/process/fleetrequesthandler.cpp
+++ b/libraries/process/fleetrequesthandler.cpp
@@ -178,7 +178,7 @@
 auto FleetRequestHandler::send(RequestState &state) -> CallerResponse
 {
     while (true) {
-        state.deadline_ = std::min(state.deadline_, services_.endsAt_());
+        state.deadline_ = std::min(state.deadline_, services_.plannedStop_().waitsEndAt_);
         if (state.deadline_ - monotonicNow() < (state.attempts_ == 0 ? absl::ZeroDuration() : minimumAttemptTime)) {
             state.refusal_ = state.mayHaveRun_ ? Refusal::DeadlineExceeded : Refusal::NoCapacity;
             break;
@@ -264,6 +264,9 @@
     if (isSilent) {
         // The idle connections to the server may be just as unresponsive.
         pool_.closeIdle(backend.registration_.server_.address_);
+        if (now < state.limitEndsAt_ && now >= services_.plannedStop_().waitsEndAt_) {
+            state.detail_ = "broken off by the end of this host, before the request's own limit";
+        }
     } else {
         recordCrash(state);
     }
@@ -297,8 +300,8 @@
 
 auto FleetRequestHandler::maySendAgain(RequestState &state) -> bool
 {
-    return state.attempts_ < state.route_->maximumAttempts_ && std::min(state.deadline_, services_.endsAt_()) - monotonicNow() >= minimumAttemptTime
-        && retries_.takeRetry(state.service_);
+    return state.attempts_ < state.route_->maximumAttempts_
+        && std::min(state.deadline_, services_.plannedStop_().waitsEndAt_) - monotonicNow() >= minimumAttemptTime && retries_.takeRetry(state.service_);
 }
 
 // A backend server that closes a connection without a whole response has crashed if it accepts no new connection either.
@@ -332,7 +335,7 @@
     } else if (const auto seconds = retryAfter(refusal)) {
         response.headers_.push_back({ "Retry-After", std::string(*seconds) });
     }
-    result.closes_ = services_.isStopping_() || refusal == Refusal::CallerLeft;
+    result.closes_ = hasBegun(services_.plannedStop_()) || refusal == Refusal::CallerLeft;
     log(state, response.status_, description.name_);
     return result;
 }
@@ -361,7 +364,7 @@
     if (state.rest_) {
         result.rest_ = loggingCut(std::move(*state.rest_), state.requestId_, state.choice_.backend_->registration_.server_.name_);
     }
-    result.closes_ = services_.isStopping_();
+    result.closes_ = hasBegun(services_.plannedStop_());
     return result;
 }
 
@@ -395,6 +398,9 @@
     if (state.received_.unreadTime_ > absl::ZeroDuration()) {
         fields.push_back({ "unread_ms", millisecondsText(state.received_.unreadTime_) });
     }
+    if (const auto stop = services_.plannedStop_(); hasBegun(stop)) {
+        fields.push_back({ "stop_ms", millisecondsText(std::max(state.received_.receivedAt_, state.completeAt_) - stop.beganAt_) });
+    }
     if (!state.detail_.empty()) {
         fields.push_back({ "detail", state.detail_ });
     }
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -17,6 +17,7 @@
 #include "request/backendranking.h"
 #include "request/callerprotocol.h"
 #include "request/crashsuspecttable.h"
+#include "request/plannedstop.h"
 #include "request/refusal.h"
 
 #include <absl/base/thread_annotations.h>
@@ -43,10 +44,9 @@
     FleetState *state_ = nullptr;
     /** Hashes of the hosts among which rate limits of cold servers are split at a monotonic time. */
     std::function<std::vector<std::uint64_t>(absl::Time)> shareHolders_;
-    std::function<bool()> isStopping_;
-    /** Monotonic time at which all waits for backend servers end because the process does; infinite while it is not to end. */
-    std::function<absl::Time()> endsAt_ = [] {
-        return absl::InfiniteFuture();
+    /** The planned stop of the host, if one has begun. */
+    std::function<PlannedStop()> plannedStop_ = [] {
+        return PlannedStop {};
     };
     std::function<void(const RequestObservation &)> observe_;
     /** The hosts among which quotas are divided; the same pointer as long as they are the same. None if this host holds all of them. */
--- a/libraries/process/fleetrequesthandlertest.cpp
+++ b/libraries/process/fleetrequesthandlertest.cpp
@@ -146,9 +146,6 @@
             services.shareHolders_ = [](absl::Time) {
                 return std::vector<std::uint64_t> {};
             };
-            services.isStopping_ = [] {
-                return false;
-            };
             services.settings_ = [] {
                 auto settings = ReloadableSettings {};
                 settings.quota_.window_ = quotaWindow;
--- a/libraries/process/fleetrequestlogtest.cpp
+++ b/libraries/process/fleetrequestlogtest.cpp
@@ -48,6 +48,14 @@
     std::string detail_;
 };
 
+struct StopLogCase
+{
+    std::string title_;
+    /** From the request to the end of all waits of the host; the route's timeout is 200 ms. */
+    absl::Duration waitsEndAfter_;
+    std::string detail_;
+};
+
 struct FailureCase
 {
     std::string title_;
@@ -89,9 +97,6 @@
             services.shareHolders_ = [](absl::Time) {
                 return std::vector<std::uint64_t> {};
             };
-            services.isStopping_ = [] {
-                return false;
-            };
             auto handler = FleetRequestHandler(services);
             const auto content = RequestContent { "POST", "/x", { { "Host", "h.example" }, { "X-Request-Id", "id-7" }, { "X-Api-Key", "secret-key" } }, "" };
             static_cast<void>(handler.handle({ content, monotonicNow(), -1, 0 }));
@@ -112,6 +117,45 @@
     }
 }
 
+// Guards against a request that a planned stop breaks off and whose log line looks like that of one that has reached its own limit.
+TEST_CASE("the log line of a request says when it arrived in a planned stop and whether the stop ended it")
+{
+    const auto cases = std::vector<StopLogCase> {
+        { "ended by the stop", absl::Milliseconds(60), "broken off by the end of this host, before the request's own limit" },
+        { "ended by its own limit", absl::Seconds(5), "no response in time" },
+    };
+    for (const auto &stopCase : cases) {
+        CAPTURE(stopCase.title_);
+        auto server = ScriptedServer(testIp(9, 2), [](const ScriptedRequest &) {
+            return ScriptedReply { "HTTP/1.1 200 OK\r\n\r\n", absl::Milliseconds(500), true };
+        });
+        auto output = CapturedOutput();
+        auto state = FleetState({ { "zone-a", "east" } }, "zone-a", decodersFor(server.address(), 0));
+        state.applyFromStore(monotonicNow(), { 5, true, { { RecordKind::Policy, "policy", 1, false, "x" }, { RecordKind::Backend, "b", 2, false, "x" } } });
+        auto services = FleetRequestServices {};
+        services.hostName_ = "host";
+        services.state_ = &state;
+        services.settings_ = [] {
+            return ReloadableSettings {};
+        };
+        services.shareHolders_ = [](absl::Time) {
+            return std::vector<std::uint64_t> {};
+        };
+        const auto now = monotonicNow();
+        services.plannedStop_ = [stop = PlannedStop { now - absl::Seconds(1), now + absl::Seconds(5), now + stopCase.waitsEndAfter_, now + absl::Seconds(5) }] {
+            return stop;
+        };
+        auto handler = FleetRequestHandler(services);
+        const auto content = RequestContent { "POST", "/x", { { "Host", "h.example" }, { "X-Request-Id", "id-7" }, { "X-Api-Key", "secret-key" } }, "" };
+        static_cast<void>(handler.handle({ content, now, -1, 0 }));
+        const auto lines = output.linesOf("request");
+        REQUIRE(lines.size() == 1);
+        CHECK(lines.front().at("status") == "504");
+        CHECK(lines.front().at("detail") == stopCase.detail_);
+        CHECK(std::stod(lines.front().at("stop_ms").get<std::string>()) >= 1000);
+    }
+}
+
 // Guards against a request that is turned away for its path or host without a trace of either, and against a key in the log.
 TEST_CASE("the log line of a request without a route names its host and path without the key")
 {
@@ -128,9 +172,6 @@
         state.applyFromStore(monotonicNow(), { 5, true, { { RecordKind::Policy, "policy", 1, false, "x" } } });
         auto services = FleetRequestServices {};
         services.state_ = &state;
-        services.isStopping_ = [] {
-            return false;
-        };
         auto handler = FleetRequestHandler(services);
         const auto content = RequestContent { "GET", targetCase.target_, { { "Host", "other.example" }, { "X-Api-Key", "secret-key" } }, "" };
         static_cast<void>(handler.handle({ content, monotonicNow(), -1, 0 }));
--- a/libraries/process/fleetrequeststate.h
+++ b/libraries/process/fleetrequeststate.h
@@ -24,6 +24,11 @@
     const PolicyOrganisation *organisation_ = nullptr;
     /** The request without the caller's API key. */
     RequestContent content_ = {};
+    /** When the last byte of the request arrived; set during a planned stop only. */
+    absl::Time completeAt_ = absl::InfinitePast();
+    /** When the caller's remaining time or the route's timeout ends, whichever is first. */
+    absl::Time limitEndsAt_ = absl::InfiniteFuture();
+    /** Limit of all waits: limitEndsAt_, or the end of the host if that is earlier. */
     absl::Time deadline_ = absl::InfiniteFuture();
     QuotaAdmission admission_ = {};
     std::string service_ = {};
--- a/libraries/process/twobackendfixture.h
+++ b/libraries/process/twobackendfixture.h
@@ -107,9 +107,6 @@
         services.shareHolders_ = [](absl::Time) {
             return std::vector<std::uint64_t> {};
         };
-        services.isStopping_ = [] {
-            return false;
-        };
         services.settings_ = [window = quota.window_] {
             auto settings = ReloadableSettings {};
             settings.retryBudgetExtra_ = 10000;
