--- a/tests/platform/support/fleet.cpp
+++ b/tests/platform/support/fleet.cpp
@@ -59,13 +59,13 @@
     return fmt::format("r{}-{}", getpid(), ++number);
 }
 
-auto routeJson(const std::string &name, const std::string &prefix, const std::string &kind) -> Json
+auto routeJson(const std::string &name, const std::string &prefix, const std::string &kind, std::chrono::milliseconds timeout) -> Json
 {
     return { { "name", name },
              { "host", "service.example" },
              { "prefix", prefix },
              { "kind", kind },
-             { "timeout", "3000ms" },
+             { "timeout", fmt::format("{}ms", timeout.count()) },
              { "max_attempts", 3 },
              { "target_latency", "800ms" },
              { "priority", 1 },
@@ -180,7 +180,7 @@
           { { "quota_window", "5s" },
             { "quota_overage", 0.1 },
             { "quota_slack", 20 },
-            { "grace", "6s" },
+            { "grace", fmt::format("{}ms", settings_.grace_.count()) },
             { "retry_budget_ratio", 0.2 },
             { "budget_extra", 100 } } },
         { "platform", { { "address", host.configuredStoreAddress_ } } },
@@ -237,7 +237,8 @@
     ++version_;
     const auto json = Json {
         { "version", version_ },
-        { "routes", Json::array({ routeJson("read", "/read/", "safe"), routeJson("book", "/book/", "unsafe") }) },
+        { "routes",
+          Json::array({ routeJson("read", "/read/", "safe", settings_.routeTimeout_), routeJson("book", "/book/", "unsafe", settings_.routeTimeout_) }) },
         { "services",
           Json::array({ Json { { "name", "s" }, { "health_path", "/health" }, { "max_conns", 300 }, { "cold_start", "0ms" }, { "cold_per_s", 9 } } }) },
         { "limits", Json { { "idle_timeout", "15s" } } },
--- a/tests/platform/support/fleet.h
+++ b/tests/platform/support/fleet.h
@@ -32,6 +32,10 @@
     int memoryMegabytes_ = 112;
     /** Descriptor limit in the settings of each host; 0 sets none. */
     int maximumDescriptors_ = 0;
+    /** Time from the stop signal until a host is killed, in the settings of each host. */
+    std::chrono::milliseconds grace_ { 6000 };
+    /** Timeout of both routes. */
+    std::chrono::milliseconds routeTimeout_ { 3000 };
 };
 
 /** One entry host. */
--- a/tests/platform/support/platformbackend.cpp
+++ b/tests/platform/support/platformbackend.cpp
@@ -264,6 +264,9 @@
         serviceTime = serviceTime_;
         addedBytes = addedBytes_;
     }
+    if (const auto work = standin::headerValue(request, "x-work-ms"); !work.empty()) {
+        serviceTime = std::chrono::milliseconds { std::stoi(work) };
+    }
     std::this_thread::sleep_for(serviceTime);
     auto response = HttpResponse {};
     response.headers_.emplace_back("X-Request-Id", id);
--- a/tests/platform/support/platformbackend.h
+++ b/tests/platform/support/platformbackend.h
@@ -98,7 +98,7 @@
 
     auto setFault(PlatformBackendFault fault) -> void;
     auto setSignals(const PlatformBackendSignals &signals) -> void;
-    /** Sets how long a request runs, and how many bytes are added to the body of its response. */
+    /** Sets how long a request runs unless it says so itself (X-Work-Ms), and how many bytes are added to the body of its response. */
     auto setWork(std::chrono::milliseconds serviceTime, std::size_t addedBytes = 0) -> void;
     [[nodiscard]] auto instance() const -> const std::string &;
 
