Take a request late in a planned stop only if its own limit ends before the host does

Cause: new requests were taken for half of the grace, while the rule excuses a break-off by the stop only for requests sent within 3 s after SIGTERM. At a grace of 6 s these are the same. Between 3 s and half of a longer grace only the expected duration of the route was asked, which is zero for an unknown route and makes nothing certain for any other.

Evidence: the log of laterequesttest on the code before (stop_ms 4500.2 for a request sent at 4500 ms, and "broken off by the end of this host, before the request's own limit"). The same for a route with twenty requests of 60 ms each, reads, a kept connection, an upload whose last byte came at 4.5 s, one sent at 3.2 s, and a grace of 20 s at 8 s. So neither the late handling of the signal nor what is known of a route is the cause.

Change: a request whose last byte arrives later than 2.9 s after the handled signal is taken only if the caller's remaining time or the route's timeout ends before the host's waits do. Then a 504 at its limit breaks off nothing that the rule counts. 0.1 s is the margin for a signal that the host handles later than it was sent. When a host refuses everything and when it ends is as before, so that a stop without requests in flight still ends at half of the grace. The decision is a pure function, stopRefusalOf; the last byte's arrival is read from the socket, so that an upload counts from its end.

--- a/libraries/process/fleetrequestadmission.cpp
+++ b/libraries/process/fleetrequestadmission.cpp
@@ -36,6 +36,17 @@
     return std::max(request.receivedAt_, monotonicNow() - timeSinceArrival(request.socket_));
 }
 
+// When the route's timeout or the time that the caller still waits ends, whichever is first.
+auto limitEndOf(const ReceivedRequest &request, const PolicyRoute &route, const std::string &remainingTimeHeader) -> absl::Time
+{
+    auto limit = route.timeout_;
+    auto milliseconds = std::int64_t { 0 };
+    if (absl::SimpleAtoi(headerValue(request.content_.headers_, remainingTimeHeader), &milliseconds)) {
+        limit = std::min(limit, absl::Milliseconds(std::max<std::int64_t>(0, milliseconds)));
+    }
+    return request.receivedAt_ + limit;
+}
+
 auto retryBudgetOf(const ReloadableSettings &settings) -> RetryBudget
 {
     const auto maximumTokens = std::max(1.0, settings.retryBudgetExtra_ * usedRetryFraction / retryExtraHosts);
@@ -73,6 +84,7 @@
         state.completeAt_ = lastByteAt(state.received_);
     }
     if (monotonicNow() >= stop.refusesAt_) {
+        state.detail_ = describeStopRefusal(StopRefusal::TakesNoRequests);
         return Refusal::Stopping;
     }
     const auto &content = state.received_.content_;
@@ -95,16 +107,12 @@
     if (authenticationRefusal) {
         return authenticationRefusal;
     }
-    auto limit = state.route_->timeout_;
-    auto milliseconds = std::int64_t { 0 };
-    if (absl::SimpleAtoi(headerValue(content.headers_, services_.protocol_.timeoutMillis_), &milliseconds)) {
-        limit = std::min(limit, absl::Milliseconds(std::max<std::int64_t>(0, milliseconds)));
-    }
-    if (monotonicNow() + durations_.longestExpected(state.route_->name_) > stop.waitsEndAt_) {
-        state.detail_ = "requests of the route take longer than this host still runs";
+    state.limitEndsAt_ = limitEndOf(state.received_, *state.route_, services_.protocol_.timeoutMillis_);
+    const auto candidate = StopCandidate { state.completeAt_, state.limitEndsAt_, durations_.longestExpected(state.route_->name_) };
+    if (const auto stopRefusal = stopRefusalOf(monotonicNow(), stop, candidate)) {
+        state.detail_ = describeStopRefusal(*stopRefusal);
         return Refusal::Stopping;
     }
-    state.limitEndsAt_ = state.received_.receivedAt_ + limit;
     state.deadline_ = std::min(state.limitEndsAt_, stop.waitsEndAt_);
     chooseTargetAndCountRequest(state);
     {
--- a/libraries/process/fleetrequestlogtest.cpp
+++ b/libraries/process/fleetrequestlogtest.cpp
@@ -142,9 +142,11 @@
             return std::vector<std::uint64_t> {};
         };
         const auto now = monotonicNow();
-        services.plannedStop_ = [stop = PlannedStop { now - absl::Seconds(1), now + absl::Seconds(5), now + stopCase.waitsEndAfter_, now + absl::Seconds(5) }] {
-            return stop;
-        };
+        services.plannedStop_ =
+            [stop = PlannedStop {
+                 now - absl::Seconds(1), now + absl::Seconds(5), now + absl::Seconds(5), now + stopCase.waitsEndAfter_, now + absl::Seconds(5) }] {
+                return stop;
+            };
         auto handler = FleetRequestHandler(services);
         const auto content = RequestContent { "POST", "/x", { { "Host", "h.example" }, { "X-Request-Id", "id-7" }, { "X-Api-Key", "secret-key" } }, "" };
         static_cast<void>(handler.handle({ content, now, -1, 0 }));
--- a/tests/platform/support/stopcallers.cpp
+++ b/tests/platform/support/stopcallers.cpp
@@ -77,14 +77,15 @@
 
 auto StopCallers::sendAt(const StopRequest &request) -> std::string
 {
-    const auto id = nextId();
+    auto id = nextId();
     callers_.emplace_back([=, this] {
         std::this_thread::sleep_until(signalAt_ + request.after_);
         auto connected = connectTo(host_);
         if (auto *connection = std::get_if<TcpConnection>(&connected)) {
+            const auto after = sinceSignal();
             write(id, request, *connection);
             std::this_thread::sleep_for(request.readDelay_);
-            record(id, request.after_, *connection);
+            record(id, after, *connection);
         } else {
             recordUnanswered(id, request.after_);
         }
@@ -105,13 +106,15 @@
             recordUnanswered(secondId, second.after_);
             return;
         }
+        const auto firstAfter = sinceSignal();
         write(firstId, first, *connection);
         std::this_thread::sleep_until(signalAt_ + second.after_);
+        const auto secondAfter = sinceSignal();
         write(secondId, second, *connection);
-        if (record(firstId, first.after_, *connection)) {
-            record(secondId, second.after_, *connection);
+        if (record(firstId, firstAfter, *connection)) {
+            record(secondId, secondAfter, *connection);
         } else {
-            recordUnanswered(secondId, second.after_);
+            recordUnanswered(secondId, secondAfter);
         }
     });
     return { firstId, secondId };
--- a/tests/platform/support/stopcallers.h
+++ b/tests/platform/support/stopcallers.h
@@ -38,7 +38,7 @@
 struct StopCall
 {
     std::string id_;
-    /** When its head was sent, from the signal. */
+    /** When the caller began to send it, from the signal; later than planned on a busy machine. */
     std::chrono::milliseconds sentAfter_;
     bool isAnswered_ = false;
     int status_ = 0;
