--- a/libraries/process/fleetrequestadmission.cpp
+++ b/libraries/process/fleetrequestadmission.cpp
@@ -87,6 +87,28 @@
         state.detail_ = describeStopRefusal(StopRefusal::TakesNoRequests);
         return Refusal::Stopping;
     }
+    if (const auto refusal = findRoute(state)) {
+        return refusal;
+    }
+    if (const auto refusal = authenticate(state)) {
+        return refusal;
+    }
+    if (const auto refusal = admitDuringStop(state, stop)) {
+        return refusal;
+    }
+    state.deadline_ = std::min(state.limitEndsAt_, stop.waitsEndAt_);
+    chooseTargetAndCountRequest(state);
+    {
+        const auto lock = absl::ReaderMutexLock(&mutex_);
+        if (!crashes_.isEmpty() && crashes_.isSuspect(monotonicNow(), fingerprintOf(state))) {
+            return Refusal::CrashSuspect;
+        }
+    }
+    return admitByQuota(state);
+}
+
+auto FleetRequestHandler::findRoute(RequestState &state) const -> std::optional<Refusal>
+{
     const auto &content = state.received_.content_;
     const auto path = pathOfTarget(content.target_);
     if (!path.starts_with('/') || headerCount(content.headers_, "host") != 1) {
@@ -103,25 +125,18 @@
         state.detail_ = "a backend server could interpret the path as one of another route, or of none";
         return Refusal::MalformedRequest;
     }
-    const auto authenticationRefusal = authenticate(state);
-    if (authenticationRefusal) {
-        return authenticationRefusal;
-    }
     state.limitEndsAt_ = limitEndOf(state.received_, *state.route_, services_.protocol_.timeoutMillis_);
+    return std::nullopt;
+}
+
+auto FleetRequestHandler::admitDuringStop(RequestState &state, const PlannedStop &stop) const -> std::optional<Refusal>
+{
     const auto candidate = StopCandidate { state.completeAt_, state.limitEndsAt_, durations_.longestExpected(state.route_->name_) };
     if (const auto stopRefusal = stopRefusalOf(monotonicNow(), stop, candidate)) {
         state.detail_ = describeStopRefusal(*stopRefusal);
         return Refusal::Stopping;
     }
-    state.deadline_ = std::min(state.limitEndsAt_, stop.waitsEndAt_);
-    chooseTargetAndCountRequest(state);
-    {
-        const auto lock = absl::ReaderMutexLock(&mutex_);
-        if (!crashes_.isEmpty() && crashes_.isSuspect(monotonicNow(), fingerprintOf(state))) {
-            return Refusal::CrashSuspect;
-        }
-    }
-    return admitByQuota(state);
+    return std::nullopt;
 }
 
 auto FleetRequestHandler::admitByQuota(RequestState &state) -> std::optional<Refusal>
--- a/libraries/process/fleetrequesthandler.h
+++ b/libraries/process/fleetrequesthandler.h
@@ -120,6 +120,10 @@
     struct RequestState;
 
     auto admitRequest(RequestState &state) -> std::optional<Refusal>;
+    /** Sets the route of a request and the end of its limit. */
+    auto findRoute(RequestState &state) const -> std::optional<Refusal>;
+    /** Refuses a request that the stop of this host could break off. */
+    auto admitDuringStop(RequestState &state, const PlannedStop &stop) const -> std::optional<Refusal>;
     auto authenticate(RequestState &state) -> std::optional<Refusal>;
     auto admitByQuota(RequestState &state) -> std::optional<Refusal>;
     /** Whether a request that may not have run yet has waited for so long since its admission that it needs another one. */
--- a/libraries/process/fleetrequestlogtest.cpp
+++ b/libraries/process/fleetrequestlogtest.cpp
@@ -42,6 +42,20 @@
     return decoders;
 }
 
+auto servicesFor(FleetState &state) -> FleetRequestServices
+{
+    auto services = FleetRequestServices {};
+    services.hostName_ = "host";
+    services.state_ = &state;
+    services.settings_ = [] {
+        return ReloadableSettings {};
+    };
+    services.shareHolders_ = [](absl::Time) {
+        return std::vector<std::uint64_t> {};
+    };
+    return services;
+}
+
 struct TargetCase
 {
     std::string target_;
@@ -88,16 +102,7 @@
             auto output = CapturedOutput();
             auto state = FleetState({ { "zone-a", "east" } }, "zone-a", decodersFor(server.address(), failureCase.rate_));
             state.applyFromStore(monotonicNow(), { 5, true, { { RecordKind::Policy, "policy", 1, false, "x" }, { RecordKind::Backend, "b", 2, false, "x" } } });
-            auto services = FleetRequestServices {};
-            services.hostName_ = "host";
-            services.state_ = &state;
-            services.settings_ = [] {
-                return ReloadableSettings {};
-            };
-            services.shareHolders_ = [](absl::Time) {
-                return std::vector<std::uint64_t> {};
-            };
-            auto handler = FleetRequestHandler(services);
+            auto handler = FleetRequestHandler(servicesFor(state));
             const auto content = RequestContent { "POST", "/x", { { "Host", "h.example" }, { "X-Request-Id", "id-7" }, { "X-Api-Key", "secret-key" } }, "" };
             static_cast<void>(handler.handle({ content, monotonicNow(), -1, 0 }));
             lines = output.linesOf("request");
@@ -132,15 +137,7 @@
         auto output = CapturedOutput();
         auto state = FleetState({ { "zone-a", "east" } }, "zone-a", decodersFor(server.address(), 0));
         state.applyFromStore(monotonicNow(), { 5, true, { { RecordKind::Policy, "policy", 1, false, "x" }, { RecordKind::Backend, "b", 2, false, "x" } } });
-        auto services = FleetRequestServices {};
-        services.hostName_ = "host";
-        services.state_ = &state;
-        services.settings_ = [] {
-            return ReloadableSettings {};
-        };
-        services.shareHolders_ = [](absl::Time) {
-            return std::vector<std::uint64_t> {};
-        };
+        auto services = servicesFor(state);
         const auto now = monotonicNow();
         services.plannedStop_ =
             [stop = PlannedStop {
