--- a/tests/platform/support/stopcallers.h
+++ b/tests/platform/support/stopcallers.h
@@ -16,10 +16,10 @@
 namespace platformtest
 {
 
-/** A request to send around a stop. All times from a moment count from the stop signal and are negative before it. */
+/** A request to send around a stop. */
 struct StopRequest
 {
-    /** When the head is sent. */
+    /** When the head is sent, from the stop signal; negative before it. */
     std::chrono::milliseconds after_ {};
     std::string path_;
     /** Length of the body; a request with one is a POST. */
