Wait in callerserverbodytest until an answered request no longer counts

Cause: a race of the test. CallerServer takes a request out of the count after its response has been written (endRequest), so that a caller may read the response first; a stop needs that order.

Change: the check waits for the count for at most 5 s, as the one at its start did, and still asks for exactly that count. Both use one function; the first asks for equality during the wait as well.

--- a/libraries/process/callerserverbodytest.cpp
+++ b/libraries/process/callerserverbodytest.cpp
@@ -76,6 +76,16 @@
     return { status, response.httpResponse_ };
 }
 
+// Waits until the server has so many unanswered requests. A caller may have its response just before the request no longer counts.
+auto hasUnanswered(const CallerServer &server, int count) -> bool
+{
+    const auto deadline = monotonicNow() + absl::Seconds(5);
+    while (server.unansweredRequests() != count && monotonicNow() < deadline) {
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    return server.unansweredRequests() == count;
+}
+
 }
 
 // Guards against callers that stop within their bodies and occupy all threads of the host.
@@ -90,15 +100,11 @@
         stalled.push_back(connectTo(server));
         REQUIRE(stalled.back().write(postOf(10) + "123456789", monotonicNow() + absl::Seconds(5)) == TransferStatus::Done);
     }
-    const auto deadline = monotonicNow() + absl::Seconds(5);
-    while (server.unansweredRequests() < stalledCallers && monotonicNow() < deadline) {
-        absl::SleepFor(absl::Milliseconds(1));
-    }
-    CHECK(server.unansweredRequests() == stalledCallers);
+    CHECK(hasUnanswered(server, stalledCallers));
     auto connection = connectTo(server);
     CHECK(replyTo(connection, postOf(3) + "abc").response_ == HttpResponse { okStatus, { { "Content-Length", "1" } }, "3" });
     CHECK(replyTo(stalled.front(), "0").response_.body_ == "10");
-    CHECK(server.unansweredRequests() == stalledCallers - 1);
+    CHECK(hasUnanswered(server, stalledCallers - 1));
 }
 
 // Guards against the loss of bytes where a body arrives in parts, and against a limit that starts anew with each part.
