--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -42,6 +42,9 @@
 constexpr auto okStatus = 200;
 constexpr auto startLimit = std::chrono::seconds { 20 };
 constexpr auto pollInterval = Milliseconds { 50 };
+constexpr auto cutTime = Milliseconds { 2 };
+constexpr auto watchTime = Milliseconds { 20 };
+constexpr auto watchLimit = Milliseconds { 2000 };
 
 auto stageFolder() -> std::string
 {
@@ -230,6 +233,24 @@
     backends_.push_back(std::move(server));
 }
 
+auto Stage::removeBackend(const std::string &id) -> void
+{
+    store_.remove("servers/" + id);
+}
+
+auto Stage::cutWatches() -> void
+{
+    const auto deadline = Clock::now() + watchLimit;
+    while (store_.calls("kv-watch") < watchesAtLastCut_ + static_cast<int>(hosts_.size()) && Clock::now() < deadline) {
+        std::this_thread::sleep_for(cutTime);
+    }
+    std::this_thread::sleep_for(watchTime);
+    watchesAtLastCut_ = store_.calls("kv-watch");
+    store_.setFault("", platformtest::StoreFault::ConnectionReset);
+    std::this_thread::sleep_for(cutTime);
+    store_.setFault("", platformtest::StoreFault::None);
+}
+
 auto Stage::configure(const Json &configuration) -> void
 {
     store_.put("op/config", configuration.dump());
@@ -269,7 +290,7 @@
         { "heartbeat", "1500ms" },
         { "bounds",
           { { "stable_window", "4000ms" },
-            { "drain", "4000ms" },
+            { "drain", fmt::format("{}ms", settings_.drain_.count()) },
             { "grace", fmt::format("{}ms", settings_.grace_.count()) },
             { "loss_slack", "200ms" },
             { "config_apply", "4000ms" },
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -108,6 +108,7 @@
 {
     int memoryMegabytes_ = 112;
     Milliseconds grace_ { 6000 };
+    Milliseconds drain_ { 4000 };
 };
 
 /** The deployment: one region with the zones west-a and west-b. Everything listens on loopback addresses that belong to this process. */
@@ -121,6 +122,10 @@
 
     /** Starts a backend server and registers it. */
     auto addBackend(const std::string &id, const std::string &service, const std::string &zone, const standin::HttpHandler &handler) -> void;
+    /** Removes a backend server's entry, as a server that leaves without reporting it. The server goes on serving. Returns when the store has accepted it. */
+    auto removeBackend(const std::string &id) -> void;
+    /** Waits until each host has begun a watch since the last cut, and cuts the watches that wait at the store, which goes on serving at once. */
+    auto cutWatches() -> void;
     /** Writes a configuration as the operator does. */
     auto configure(const nlohmann::json &configuration) -> void;
     auto addHost(const std::string &zone) -> void;
@@ -132,6 +137,7 @@
     StageSettings settings_;
     std::string folder_;
     platformtest::KeyValueServer store_;
+    int watchesAtLastCut_ = 0;
     std::vector<std::unique_ptr<standin::HttpServer>> backends_;
     std::vector<StageHost> hosts_;
 };
