Review case 11: after mass crashes of servers, a request that crashes them is never refused

A request that crashes its servers then ends 20 of them; seven retries came later than stable_window after the third crash (BUDGET allows three), and 13 to 16 bookings were cut.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 OUT=target/review-3
 mkdir -p "$OUT"
 FLAGS=(-std=c++20 -O1 -pthread -Ilibraries -Itests/standins -Itests/platform -Itests/integration -Ireview/standins-3 -DPROGRAM_FOLDER="\"$PWD/target/bin\"")
-SHARED=(review/standins-3/stage.cpp tests/standins/support/httpserver.cpp tests/standins/support/sockets.cpp tests/platform/support/keyvalueserver.cpp
+SHARED=(review/standins-3/stage.cpp review/standins-3/crashingserver.cpp tests/standins/support/httpserver.cpp tests/standins/support/sockets.cpp tests/platform/support/keyvalueserver.cpp
     tests/integration/support/process.cpp)
 OBJECTS=()
 for SOURCE in "${SHARED[@]}"; do
--- a/review/standins-3/stage.cpp
+++ b/review/standins-3/stage.cpp
@@ -224,13 +224,18 @@
     if (!server->start(lycheecleat::testIp(2, firstBackendOctet + static_cast<int>(backends_.size())) + ":0")) {
         throw std::runtime_error("a backend server cannot listen");
     }
+    registerBackend(id, service, zone, server->address());
+    backends_.push_back(std::move(server));
+}
+
+auto Stage::registerBackend(const std::string &id, const std::string &service, const std::string &zone, const std::string &address) -> void
+{
     store_.put("servers/" + id,
                Json { { "born", std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count() },
-                      { "address", server->address() },
+                      { "address", address },
                       { "info", { { "service", service }, { "version", "v1" }, { "zone", zone }, { "slots", slots } } },
                       { "status", { { "state", "ready" }, { "seq", 1 }, { "cold_left", "0ms" } } } }
                    .dump());
-    backends_.push_back(std::move(server));
 }
 
 auto Stage::removeBackend(const std::string &id) -> void
--- a/review/standins-3/stage.h
+++ b/review/standins-3/stage.h
@@ -122,6 +122,8 @@
 
     /** Starts a backend server and registers it. */
     auto addBackend(const std::string &id, const std::string &service, const std::string &zone, const standin::HttpHandler &handler) -> void;
+    /** Writes the entry of a backend server that has just started. */
+    auto registerBackend(const std::string &id, const std::string &service, const std::string &zone, const std::string &address) -> void;
     /** Removes a backend server's entry, as a server that leaves without reporting it. The server goes on serving. Returns when the store has accepted it. */
     auto removeBackend(const std::string &id) -> void;
     /** Waits until each host has begun a watch since the last cut, and cuts the watches that wait at the store, which goes on serving at once. */
